--- /dev/null
+++ b/Libraries/LibBase/Json.cpp
@@ -0,0 +1,147 @@
+#include "lavenderpick/Base/Json.h"
+
+#include "lavenderpick/Base/Error.h"
+
+namespace Lavenderpick {
+
+namespace {
+
+[[noreturn]] void fail(const std::string &message)
+{
+    throw Error(ErrorKind::InvalidMessage, message, "Correct the message and send it again.");
+}
+
+const nlohmann::json *find(const nlohmann::json &json, const char *field)
+{
+    if (!json.is_object())
+        fail("A JSON object is expected");
+    const auto position = json.find(field);
+    return position == json.end() || position->is_null() ? nullptr : &*position;
+}
+
+const nlohmann::json &require(const nlohmann::json &json, const char *field)
+{
+    const nlohmann::json *value = find(json, field);
+    if (value == nullptr)
+        fail(std::string("Field '") + field + "' is missing");
+    return *value;
+}
+
+std::string checkedString(const nlohmann::json &value, const char *field, std::size_t maximumBytes)
+{
+    if (!value.is_string())
+        fail(std::string("Field '") + field + "' must be a string");
+    const auto &text = value.get_ref<const std::string &>();
+    if (text.size() > maximumBytes)
+        fail(std::string("Field '") + field + "' is longer than " + std::to_string(maximumBytes)
+             + " bytes");
+    return text;
+}
+
+std::int64_t checkedInteger(const nlohmann::json &value, const char *field, std::int64_t minimum,
+                            std::int64_t maximum)
+{
+    const bool tooLarge = value.is_number_unsigned()
+            && value.get<std::uint64_t>() > static_cast<std::uint64_t>(INT64_MAX);
+    if (!value.is_number_integer() || tooLarge)
+        fail(std::string("Field '") + field + "' must be a whole number");
+    const auto number = value.get<std::int64_t>();
+    if (number < minimum || number > maximum)
+        fail(std::string("Field '") + field + "' must be from " + std::to_string(minimum) + " to "
+             + std::to_string(maximum));
+    return number;
+}
+
+bool checkedBool(const nlohmann::json &value, const char *field)
+{
+    if (!value.is_boolean())
+        fail(std::string("Field '") + field + "' must be true or false");
+    return value.get<bool>();
+}
+
+} // namespace
+
+nlohmann::json parseJson(std::string_view text, std::string_view what)
+{
+    nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    if (json.is_discarded())
+        fail("The " + std::string(what) + " is not valid JSON");
+    return json;
+}
+
+nlohmann::json parseCbor(std::string_view bytes, std::string_view what)
+{
+    nlohmann::json json = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (json.is_discarded())
+        fail("The " + std::string(what) + " is not valid CBOR");
+    return json;
+}
+
+std::string toCbor(const nlohmann::json &json)
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    return bytes;
+}
+
+std::string requireString(const nlohmann::json &json, const char *field, std::size_t maximumBytes)
+{
+    return checkedString(require(json, field), field, maximumBytes);
+}
+
+std::string optionalString(const nlohmann::json &json, const char *field,
+                           const std::string &fallback, std::size_t maximumBytes)
+{
+    const nlohmann::json *value = find(json, field);
+    return value == nullptr ? fallback : checkedString(*value, field, maximumBytes);
+}
+
+std::int64_t requireInteger(const nlohmann::json &json, const char *field, std::int64_t minimum,
+                            std::int64_t maximum)
+{
+    return checkedInteger(require(json, field), field, minimum, maximum);
+}
+
+std::int64_t optionalInteger(const nlohmann::json &json, const char *field, std::int64_t fallback,
+                             std::int64_t minimum, std::int64_t maximum)
+{
+    const nlohmann::json *value = find(json, field);
+    return value == nullptr ? fallback : checkedInteger(*value, field, minimum, maximum);
+}
+
+double requireNumber(const nlohmann::json &json, const char *field)
+{
+    const nlohmann::json &value = require(json, field);
+    if (!value.is_number())
+        fail(std::string("Field '") + field + "' must be a number");
+    return value.get<double>();
+}
+
+bool requireBool(const nlohmann::json &json, const char *field)
+{
+    return checkedBool(require(json, field), field);
+}
+
+bool optionalBool(const nlohmann::json &json, const char *field, bool fallback)
+{
+    const nlohmann::json *value = find(json, field);
+    return value == nullptr ? fallback : checkedBool(*value, field);
+}
+
+const nlohmann::json &requireObject(const nlohmann::json &json, const char *field)
+{
+    const nlohmann::json &value = require(json, field);
+    if (!value.is_object())
+        fail(std::string("Field '") + field + "' must be an object");
+    return value;
+}
+
+const nlohmann::json &requireArray(const nlohmann::json &json, const char *field)
+{
+    const nlohmann::json &value = require(json, field);
+    if (!value.is_array())
+        fail(std::string("Field '") + field + "' must be an array");
+    return value;
+}
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/Services/Entry/EntryCommand.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace Lavenderpick {
+
+/// Runs the subcommand with the arguments that follow its name and returns the exit code.
+int runEntryCommand(int argc, char **argv);
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/Services/Load/LoadCommand.cpp
@@ -0,0 +1,14 @@
+#include "LoadCommand.h"
+
+#include <iostream>
+
+namespace Lavenderpick {
+
+// FIXME: The subcommand is not implemented yet.
+int runLoadCommand(int, char **)
+{
+    std::cerr << "not implemented\n";
+    return 2;
+}
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Base/Json.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+namespace Lavenderpick {
+
+/// Parses text of a message; throws `Error` of kind InvalidMessage that names `what` was parsed.
+nlohmann::json parseJson(std::string_view text, std::string_view what);
+
+/// Parses CBOR bytes of a message; throws like `parseJson`.
+nlohmann::json parseCbor(std::string_view bytes, std::string_view what);
+
+/// Bytes of the value as CBOR.
+std::string toCbor(const nlohmann::json &json);
+
+/// The field readers below throw `Error` of kind InvalidMessage that names the field when it is
+/// missing, of another type or out of range.
+constexpr std::size_t maximumStringBytes = 64 * 1024 * 1024;
+
+std::string requireString(const nlohmann::json &json, const char *field,
+                          std::size_t maximumBytes = maximumStringBytes);
+std::string optionalString(const nlohmann::json &json, const char *field,
+                           const std::string &fallback,
+                           std::size_t maximumBytes = maximumStringBytes);
+std::int64_t requireInteger(const nlohmann::json &json, const char *field, std::int64_t minimum = 0,
+                            std::int64_t maximum = INT64_MAX);
+std::int64_t optionalInteger(const nlohmann::json &json, const char *field, std::int64_t fallback,
+                             std::int64_t minimum = 0, std::int64_t maximum = INT64_MAX);
+double requireNumber(const nlohmann::json &json, const char *field);
+bool requireBool(const nlohmann::json &json, const char *field);
+bool optionalBool(const nlohmann::json &json, const char *field, bool fallback);
+const nlohmann::json &requireObject(const nlohmann::json &json, const char *field);
+const nlohmann::json &requireArray(const nlohmann::json &json, const char *field);
+
+} // namespace Lavenderpick
