--- a/Libraries/LibRecords/SettledWrite.cpp
+++ b/Libraries/LibRecords/SettledWrite.cpp
@@ -13,6 +13,7 @@
 {
     --m_writesLeft;
     if (result.applied) {
+        m_outcome.versions = result.versions;
         finish(WriteState::Applied, result.versions.front());
     } else if (result.conflictIndex == 0 && isOwn(result.conflictRow)) {
         finish(WriteState::Applied, result.conflictRow->version);
--- a/include/lavenderpick/Records/SettledWrite.h
+++ b/include/lavenderpick/Records/SettledWrite.h
@@ -19,9 +19,10 @@
 struct WriteOutcome
 {
     WriteState state { WriteState::Unknown };
-    RowVersion version { 0 };        ///< Applied: the new version of the first row.
-    std::size_t conflictIndex { 0 }; ///< Conflict: the write whose condition failed.
-    std::optional<Row> found {};     ///< Conflict: that write's present row; empty when absent.
+    RowVersion version { 0 };            ///< Applied: the new version of the first row.
+    std::vector<RowVersion> versions {}; ///< Applied: of all rows; empty if learned by reading.
+    std::size_t conflictIndex { 0 };     ///< Conflict: the write whose condition failed.
+    std::optional<Row> found {};         ///< Conflict: that write's present row; empty when absent.
 
     bool operator==(const WriteOutcome &) const = default;
 };
