--- a/Libraries/LibSettings/SettingsContext.cpp
+++ b/Libraries/LibSettings/SettingsContext.cpp
@@ -47,8 +47,8 @@
     if (m_problems.empty())
         return;
     std::string list = std::to_string(m_problems.size()) + " problem(s) in the settings";
-    for (const Problem &problem : m_problems)
-        list += "\n" + problem.text;
+    for (const auto &[line, text] : m_problems)
+        list += "\n" + text;
     list.pop_back(); // Error adds the full stop.
     throw Error(ErrorKind::InvalidSettings, list, "Correct the file and start again.");
 }
--- a/Libraries/LibSettings/SettingsContext.h
+++ b/Libraries/LibSettings/SettingsContext.h
@@ -42,17 +42,9 @@
 private:
     void checkKeys(const SettingsMap::State &state);
 
-    struct Problem
-    {
-        int line;
-        std::string text;
-
-        auto operator<=>(const Problem &) const = default;
-    };
-
     std::string m_fileName;
     std::vector<std::shared_ptr<SettingsMap::State>> m_maps;
-    std::set<Problem> m_problems;
+    std::set<std::pair<int, std::string>> m_problems; ///< Line and message.
 };
 
 /// Line of a node, from 1; `fallback` for a missing node.
--- a/Libraries/LibSettings/SettingsMap.cpp
+++ b/Libraries/LibSettings/SettingsMap.cpp
@@ -124,7 +124,7 @@
 
 std::string SettingsMap::text(const std::string &key) const
 {
-    const std::string value = text(key, "");
+    std::string value = text(key, "");
     const YAML::Node node = find(key);
     if (value.empty() && (!node.IsDefined() || node.IsNull() || node.IsScalar()))
         missing(key, "a text");
@@ -153,7 +153,7 @@
 std::string SettingsMap::choice(const std::string &key, const std::vector<std::string> &choices,
                                 const std::string &fallback) const
 {
-    const std::string value = text(key, fallback);
+    std::string value = text(key, fallback);
     if (value == fallback || std::find(choices.begin(), choices.end(), value) != choices.end())
         return value;
     wrong(find(key), key, "can't be '" + value + "'", "Use one of: " + joined(choices) + ".");
--- a/Tests/LibSettings/TestSettingsReader.cpp
+++ b/Tests/LibSettings/TestSettingsReader.cpp
@@ -72,6 +72,7 @@
     BOOST_TEST(root.texts("peers") == std::vector<std::string>({ "a", "b" }),
                boost::test_tools::per_element());
     BOOST_REQUIRE(root.maps("links").size() == 2);
+    BOOST_TEST(root.maps("links")[0].text("to") == "x");
     BOOST_TEST(root.maps("links")[1].text("to") == "y");
     const auto zones = root.namedMaps("zones");
     BOOST_REQUIRE(zones.size() == 1);
