--- a/Libraries/LibRecords/CallRecords.cpp
+++ b/Libraries/LibRecords/CallRecords.cpp
@@ -74,7 +74,9 @@
 
 bool CallRecords::recordOrQueue(CallExecution &execution)
 {
-    if (execution.step() == CallExecution::Step::Finished || tryRecord(execution))
+    // The response waits for one write at most. If that does not settle it, the backlog does.
+    const TimePoint afterOneWrite = m_clock.now() + Milliseconds(1);
+    if (execution.step() == CallExecution::Step::Finished || tryRecord(execution, afterOneWrite))
         return true;
     if (!m_backlog.add(execution)) {
         log(LogLevel::Error, "CallRecords",
@@ -84,7 +86,7 @@
     return false;
 }
 
-bool CallRecords::tryRecord(CallExecution &execution)
+bool CallRecords::tryRecord(CallExecution &execution, TimePoint deadline)
 {
     if (m_clock.wallSeconds() >= execution.started().record.expiresAt)
         return true;
@@ -98,16 +100,16 @@
         return false;
     }
     // Two rounds suffice: the second cancels the version of a claim that the first one found.
-    for (int round = 0; round < 2 && execution.step() == CallExecution::Step::Record; ++round) {
-        execution.onRecorded(
-                settle(m_table, execution.write(), m_clock, m_clock.now() + 3 * storeTimeout));
-    }
+    for (int round = 0; round < 2 && execution.step() == CallExecution::Step::Record; ++round)
+        execution.onRecorded(settle(m_table, execution.write(), m_clock, deadline));
     return execution.step() == CallExecution::Step::Finished;
 }
 
 std::size_t CallRecords::drainBacklog()
 {
-    return m_backlog.drain([this](CallExecution &execution) { return tryRecord(execution); });
+    return m_backlog.drain([this](CallExecution &execution) {
+        return tryRecord(execution, m_clock.now() + 3 * storeTimeout);
+    });
 }
 
 CallReply CallRecords::cancel(const CallKey &key, RowVersion expectedVersion,
--- a/Libraries/LibRecords/JobStore.cpp
+++ b/Libraries/LibRecords/JobStore.cpp
@@ -89,9 +89,13 @@
 {
     if (!outcome.versions.empty())
         return outcome.versions.front();
-    const auto row = m_table.read(JobRecord::row(written.id));
-    if (row && row->value == written.toJson())
-        return row->version;
+    try {
+        const auto row = m_table.read(JobRecord::row(written.id));
+        if (row && row->value == written.toJson())
+            return row->version;
+    } catch (const Error &) {
+        // The write took effect, so this must not look like a refusal.
+    }
     return std::nullopt;
 }
 
--- a/include/lavenderpick/Records/CallRecords.h
+++ b/include/lavenderpick/Records/CallRecords.h
@@ -61,7 +61,7 @@
 
 private:
     CallStamp makeStamp();
-    bool tryRecord(CallExecution &execution);
+    bool tryRecord(CallExecution &execution, TimePoint deadline);
     bool recordOrQueue(CallExecution &execution);
     std::optional<VersionedCallRecord> read(const CallKey &key) const;
     void completeReply(CallReply &reply) const;
