LibRecords: Start an attempt only on its first delivery

AttemptGate remembers the attempts an agent has seen and refuses those made before the agent's start. Ruled out: cancelling the record before every "not run", which the store can't take while it is down.

--- a/Libraries/LibRecords/CallProtocol.cpp
+++ b/Libraries/LibRecords/CallProtocol.cpp
@@ -105,6 +105,12 @@
     }
 }
 
+void CallExecution::onRepeatedDelivery()
+{
+    m_answer.ran = Ran::Unknown;
+    m_step = Step::Finished;
+}
+
 void CallExecution::refuse(const WriteOutcome &outcome)
 {
     const auto found = callRecordOf(outcome.found);
@@ -290,12 +296,6 @@
     finish(notRun(RefusalReason::StoreUnavailable));
 }
 
-void CallDispatch::resend(const std::string &token)
-{
-    m_request.token = token;
-    m_step = Step::Send;
-}
-
 void CallDispatch::finish(const CallReply &reply)
 {
     m_reply = reply;
--- a/Libraries/LibRecords/CallRecords.cpp
+++ b/Libraries/LibRecords/CallRecords.cpp
@@ -31,8 +31,15 @@
     , m_random(random)
     , m_settings(std::move(settings))
     , m_backlog(m_settings.backlogBytes)
+    , m_gate(clock.wallSeconds())
 { }
 
+std::string CallRecords::newAttemptToken()
+{
+    const std::lock_guard lock(m_randomMutex);
+    return newCallToken(m_random, m_clock.wallSeconds());
+}
+
 CallStamp CallRecords::makeStamp()
 {
     const std::lock_guard lock(m_randomMutex);
@@ -44,9 +51,18 @@
     };
 }
 
+bool CallRecords::noteRefusal(const CallRequest &request)
+{
+    return m_gate.admit(request.token, m_clock.wallSeconds());
+}
+
 CallExecution CallRecords::claimStart(const CallRequest &request, TimePoint deadline)
 {
     CallExecution execution(request, makeStamp());
+    if (!m_gate.admit(request.token, m_clock.wallSeconds())) {
+        execution.onRepeatedDelivery();
+        return execution;
+    }
     execution.onClaimed(settle(m_table, execution.write(), m_clock, deadline));
     if (execution.step() == CallExecution::Step::Send && m_clock.now() >= deadline)
         execution.onNotSent(RefusalReason::DeadlineExceeded);
@@ -160,6 +176,7 @@
         const Duration remaining = std::max(deadline - m_clock.now(), Duration::zero());
         const Duration reserve = std::min<Duration>(storeTimeout, remaining / 2);
         CallRequest request = dispatch.request();
+        request.token = newAttemptToken();
         request.deadlineMilliseconds = toMilliseconds(remaining - reserve);
         if (const auto answer = send(request))
             dispatch.onAnswer(*answer);
--- a/Tests/FaultMatrix/CallWorld.cpp
+++ b/Tests/FaultMatrix/CallWorld.cpp
@@ -25,6 +25,7 @@
     m_otherEntry = makeRecords(m_table, m_objects, m_random);
     m_otherAgent = makeRecords(m_table, m_objects, m_random);
     restartAgent();
+    clock.advance(beyondClockSkew);
     injector.whileFrozen = [this] {
         clock.advance(Seconds(60));
         lookUpElsewhere();
@@ -59,7 +60,7 @@
     const std::string number = std::to_string(m_submissions.size());
     m_submissions.push_back(CallRequest {
             .requestId = "r-" + number,
-            .token = "t-" + number,
+            .token = newCallToken(m_random, clock.wallSeconds()),
             .customer = "enna",
             .key = "loan-17",
             .digest = "digest of the loan",
@@ -118,9 +119,12 @@
     }
 }
 
-CallAnswer CallWorld::handleAtAgent(CallRecords &records, const CallRequest &request)
+CallAnswer CallWorld::handleAtAgent(CallRecords &records, CallRequest request)
 {
     const TimePoint due = clock.now() + Milliseconds(request.deadlineMilliseconds);
+    m_deliveries += 1;
+    if (!m_guards.attemptGate)
+        request.token += "-" + std::to_string(m_deliveries);
     CallExecution execution = records.claimStart(request, due);
     if (execution.step() == CallExecution::Step::Send) {
         ServiceResult result = sendToService(request);
@@ -165,11 +169,15 @@
 void CallWorld::finish()
 {
     injector.quietly([this] {
-        lookUpElsewhere();
-        clock.advance(beyondClockSkew);
-        const bool notRun = m_told.back().reply.ran == Ran::No;
-        if (notRun)
-            submitElsewhere();
+        // A caller that was told "ran" or "not run" asks no more; late messages must not prove it
+        // wrong.
+        const bool unsettled = m_told.empty() || m_told.back().reply.ran == Ran::Unknown;
+        if (unsettled || m_told.back().submission < 0) {
+            lookUpElsewhere();
+            clock.advance(beyondClockSkew);
+            if (m_told.back().reply.ran == Ran::No)
+                submitElsewhere();
+        }
         injector.recover();
         m_agent->drainBacklog();
         check(m_agent->backlogSize() == 0, "an outcome stays in the backlog");
@@ -182,6 +190,9 @@
     check(m_journal.size() <= 1, "the call executed more than once");
     for (const Told &told : m_told)
         checkTold(told);
+    const bool faultless = injector.planned().empty();
+    check(!faultless || m_told.back().reply.ran == Ran::Yes,
+          "a call did not run without any fault");
     const bool settled = m_told.back().reply.ran != Ran::Unknown;
     check(settled || m_agentKilled || !m_answered, "a known outcome was not recorded");
     return { injector.kinds(), m_violations };
--- a/Tests/FaultMatrix/CallWorld.h
+++ b/Tests/FaultMatrix/CallWorld.h
@@ -45,7 +45,7 @@
 
     CallRequest makeRequest();
     CallReply dispatch(CallRecords &records, const CallRecords::SendToAgent &send);
-    CallAnswer handleAtAgent(CallRecords &records, const CallRequest &request);
+    CallAnswer handleAtAgent(CallRecords &records, CallRequest request);
     CallAnswer deliver(const CallRequest &request);
     ServiceResult sendToService(const CallRequest &request);
     std::optional<CallAnswer> sendToAgent(const CallRequest &request);
@@ -73,6 +73,7 @@
     std::vector<Told> m_told {};
     std::optional<CallRequest> m_underWay {};
     Duration m_overrun {}; ///< Time that the agent took after the entry had given up.
+    int m_deliveries { 0 };
     bool m_agentKilled { false };
     bool m_answered { false }; ///< The faulty agent saw the service's answer.
     std::vector<std::string> m_violations {};
--- a/Tests/FaultMatrix/Faults.cpp
+++ b/Tests/FaultMatrix/Faults.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::array<const char *, faultCount> faultNames {
-    "kill-before", "kill-after", "freeze",     "silent",     "lost",        "answer-lost", "late",
-    "crossed",     "duplicated", "store-down", "store-slow", "engine-died", "race",
+    "kill-before", "kill-after", "freeze",   "silent",     "lost",       "answer-lost", "late",
+    "crossed",     "duplicated", "repeated", "store-down", "store-slow", "engine-died", "race",
 };
 
 constexpr Seconds storeTimeout { 2 };
@@ -41,6 +41,10 @@
         return kind == StepKind::StoreRead || kind == StepKind::StoreWrite;
     case Fault::EngineDied:
         return kind == StepKind::Service;
+    case Fault::Repeated:
+        // A plain service can't tell a repeated message; the agent's TCP connection must not
+        // repeat.
+        return kind == StepKind::Message || kind == StepKind::StoreWrite;
     case Fault::KillAfter:
     case Fault::AnswerLost:
     case Fault::Late:
@@ -117,7 +121,6 @@
         if (planned == m_plan.end()) {
             runPlain(kind, effect);
         } else {
-            ++m_happened;
             runFault(planned->fault, kind, effect, lateEffect);
         }
     } catch (...) {
@@ -172,6 +175,10 @@
         quietly(redeliver);
         runPlain(kind, effect);
         return;
+    case Fault::Repeated:
+        m_late.push_back(lateEffect);
+        runPlain(kind, effect);
+        return;
     case Fault::StoreDown:
         m_storeDown = true;
         runPlain(kind, effect);
--- a/Tests/FaultMatrix/Faults.h
+++ b/Tests/FaultMatrix/Faults.h
@@ -20,7 +20,8 @@
     AnswerLost, ///< The operation takes effect; its answer is lost.
     Late,       ///< As lost to the sender, but it takes effect after all else is over.
     Crossed,    ///< As lost to the sender, but it takes effect after the following step.
-    Duplicated, ///< The message under way arrives a second time.
+    Duplicated, ///< The message under way arrives a second time at this step.
+    Repeated,   ///< The message arrives again after all else is over.
     StoreDown,  ///< The store refuses everything from here until the run is over.
     StoreSlow,  ///< The store takes longer than its timeout from here until the run is over.
     EngineDied, ///< The engine or service dies while it works on the request.
@@ -90,11 +91,9 @@
 
     int steps() const { return static_cast<int>(m_kinds.size()); }
     const std::vector<StepKind> &kinds() const { return m_kinds; }
+    const Plan &planned() const { return m_plan; }
     bool has(Fault fault) const;
 
-    /// Whether a planned fault happened at a step where it can.
-    bool allHappened() const { return m_happened == m_plan.size(); }
-
 private:
     using Effect = std::function<void()>;
 
@@ -107,7 +106,6 @@
     ManualClock &m_clock;
     Plan m_plan;
     std::vector<StepKind> m_kinds {};
-    std::size_t m_happened { 0 };
     int m_quiet { 0 };
     bool m_storeDown { false };
     bool m_storeSlow { false };
--- a/Tests/FaultMatrix/FaultyStore.h
+++ b/Tests/FaultMatrix/FaultyStore.h
@@ -12,6 +12,7 @@
     bool conditions { true };   ///< Off: the table ignores the expected versions.
     bool readBack { true };     ///< Off: a lost answer of a write counts as success (no C8).
     bool writerTokens { true }; ///< Off: the claim carries the message's token only.
+    bool attemptGate { true };  ///< Off: an agent may start an attempt that it refused before.
     bool sendOnce { true };     ///< Off: the agent repeats a call that was not answered.
     bool cancelFirst { true };  ///< Off: a timeout is answered "not run" without cancelling (C6).
     bool leaseCommit { true };  ///< Off: a job joins its holder without a condition on the lease.
--- a/Tests/FaultMatrix/TestFaultMatrix.cpp
+++ b/Tests/FaultMatrix/TestFaultMatrix.cpp
@@ -27,17 +27,20 @@
 struct Mechanism
 {
     const char *name;
-    bool Guards::*guard;
+    std::vector<bool Guards::*> guards;
 };
 
+// Either of writer tokens and gate suffices against a message that arrives twice at one time; only
+// the gate protects a refusal. So the tokens are tried without the gate.
 const Mechanism mechanisms[] {
-    { "conditional writes", &Guards::conditions },
-    { "read-back of lost answers", &Guards::readBack },
-    { "writer tokens", &Guards::writerTokens },
-    { "calls are sent once", &Guards::sendOnce },
-    { "cancel before \"not run\"", &Guards::cancelFirst },
-    { "jobs join under the lease", &Guards::leaseCommit },
-    { "fences in object names", &Guards::fencedNames },
+    { "conditional writes", { &Guards::conditions } },
+    { "read-back of lost answers", { &Guards::readBack } },
+    { "gate against repeated attempts", { &Guards::attemptGate } },
+    { "gate and writer tokens", { &Guards::attemptGate, &Guards::writerTokens } },
+    { "calls sent once", { &Guards::sendOnce } },
+    { "cancel before \"not run\"", { &Guards::cancelFirst } },
+    { "jobs joining under the lease", { &Guards::leaseCommit } },
+    { "fences in object names", { &Guards::fencedNames } },
 };
 
 PlannedFault parsePlanned(const std::string &text)
@@ -64,7 +67,8 @@
 {
     for (const Mechanism &mechanism : mechanisms) {
         Guards guards;
-        guards.*mechanism.guard = false;
+        for (bool Guards::*guard : mechanism.guards)
+            guards.*guard = false;
         int failed = 0;
         std::string text = std::string("without ") + mechanism.name + ":";
         for (const Scenario &scenario : allScenarios()) {
--- a/Tests/LibRecords/TestCallRecords.cpp
+++ b/Tests/LibRecords/TestCallRecords.cpp
@@ -19,7 +19,9 @@
 
     static CallRequest request(const std::string &digest, RowVersion expectedVersion = 0)
     {
+        static int attempts = 0;
         CallRequest request;
+        request.token = "t" + std::to_string(++attempts);
         request.customer = "enna";
         request.key = "k";
         request.digest = digest;
@@ -120,6 +122,28 @@
     BOOST_TEST((records.lookUp({ "enna", "k" }, deadline).ran == Ran::No));
 }
 
+// Guards against a repeated message that starts the call after the first was refused as not run.
+BOOST_AUTO_TEST_CASE(refused_attempt_does_not_start_later)
+{
+    CallRequest once = request("d");
+    once.token = newCallToken(random, clock.wallSeconds() + 5);
+    table.faults.down = true;
+    BOOST_TEST((records.claimStart(once, deadline).answer().ran == Ran::No));
+    table.faults.down = false;
+    const CallExecution repeated = records.claimStart(once, deadline);
+    BOOST_TEST((repeated.step() == CallExecution::Step::Finished));
+    BOOST_TEST((repeated.answer().ran == Ran::Unknown));
+    CallDispatch dispatch(once, clock.wallSeconds());
+    dispatch.onAnswer(repeated.answer());
+    BOOST_TEST((dispatch.step() == CallDispatch::Step::Cancel));
+
+    // The same message at the agent's next incarnation.
+    clock.advance(Seconds(10));
+    CallRecords restarted(table, objects, clock, random, {});
+    BOOST_TEST((restarted.claimStart(once, deadline).step() == CallExecution::Step::Finished));
+    BOOST_TEST(!restarted.noteRefusal(once));
+}
+
 // Guards against a lost outcome when the store fails after the call.
 BOOST_AUTO_TEST_CASE(backlog_records_outcomes_when_the_store_returns)
 {
--- a/include/lavenderpick/Records/CallProtocol.h
+++ b/include/lavenderpick/Records/CallProtocol.h
@@ -76,6 +76,10 @@
 
     void onClaimed(const WriteOutcome &outcome);
 
+    /// Instead of a claim: another copy of the message was here before (see `AttemptGate`). The
+    /// answer is "unknown" without a state, which makes the entry settle the call by itself.
+    void onRepeatedDelivery();
+
     /// Ends a claimed call that was not sent, because its deadline passed or the upstream drains.
     void onNotSent(RefusalReason reason);
     void onServiceResult(const ServiceResult &result);
@@ -139,10 +143,6 @@
     void onRead(const std::optional<VersionedCallRecord> &found);
     void onReadFailed();
 
-    /// After a reply of "not run" without a record state: sends a new attempt, for example to
-    /// another agent. A reply with a state is final.
-    void resend(const std::string &token);
-
     const CallReply &reply() const { return m_reply; }
 
 private:
--- a/include/lavenderpick/Records/CallRecords.h
+++ b/include/lavenderpick/Records/CallRecords.h
@@ -2,6 +2,7 @@
 
 #include "lavenderpick/Base/Random.h"
 #include "lavenderpick/Platform/ObjectStore.h"
+#include "lavenderpick/Records/AttemptGate.h"
 #include "lavenderpick/Records/CallProtocol.h"
 #include "lavenderpick/Records/OutcomeBacklog.h"
 
@@ -27,6 +28,11 @@
     CallRecords(Table &table, ObjectStore &objects, const Clock &clock, Random &random,
                 CallRecordsSettings settings);
 
+    /// Call this before an agent refuses a call as "not run" that it does not pass to `claimStart`,
+    /// for example because it drains. Returns false for a repeated delivery: the refusal must then
+    /// be answered as unknown, since it says nothing of the first delivery.
+    bool noteRefusal(const CallRequest &request);
+
     /// C2: claims the start. The call may be sent exactly if the returned execution's step is Send;
     /// otherwise its `answer()` is due.
     CallExecution claimStart(const CallRequest &request, TimePoint deadline);
@@ -45,8 +51,8 @@
     /// C7.
     CallReply lookUp(const CallKey &key, TimePoint deadline);
 
-    /// C1 to C6: runs a dispatch to its end. `send` sends to an agent of its choice; it returns
-    /// nothing when there was no answer or none that proves anything.
+    /// C1 to C6: runs a dispatch to its end; each send has a fresh token. `send` sends to an agent
+    /// of its choice; it returns nothing when there was no answer or none that proves anything.
     using SendToAgent = std::function<std::optional<CallAnswer>(const CallRequest &)>;
     CallReply dispatch(CallDispatch dispatch, const SendToAgent &send, TimePoint deadline);
 
@@ -61,6 +67,7 @@
 
 private:
     CallStamp makeStamp();
+    std::string newAttemptToken();
     bool tryRecord(CallExecution &execution, TimePoint deadline);
     bool recordOrQueue(CallExecution &execution);
     std::optional<VersionedCallRecord> read(const CallKey &key) const;
@@ -74,6 +81,7 @@
     std::mutex m_randomMutex;
     CallRecordsSettings m_settings;
     OutcomeBacklog m_backlog;
+    AttemptGate m_gate;
 };
 
 } // namespace Lavenderpick
