--- a/Specifications/call-record.pml
+++ b/Specifications/call-record.pml
@@ -14,13 +14,14 @@
 
 #ifdef REPEAT
 #define WRITES 1
-#define FAULTS 2
 #define FAULT  faults++
 #else
 #define WRITES 2
-#define FAULTS 99
 #define FAULT  skip
 #endif
+#ifndef FAULTS
+#define FAULTS 99
+#endif
 
 #define ABSENT    0
 #define STARTED   1
--- a/Specifications/document.pml
+++ b/Specifications/document.pml
@@ -11,7 +11,9 @@
  */
 
 #define EDITORS  2
+#ifndef REPLICAS
 #define REPLICAS 3
+#endif
 #define MAXIMUM_TRIES 2
 
 #ifdef NO_CONDITION
@@ -120,11 +122,17 @@
         run Editor(0);
         run Editor(1);
         run Replica(0);
-        run Replica(1);
-        run Replica(2)
+        run Replica(1)
+#if REPLICAS == 3
+        ; run Replica(2)
+#endif
     }
 }
 
+#if REPLICAS == 3
 #define ALL_CURRENT (in_force[0] == head && in_force[1] == head && in_force[2] == head)
+#else
+#define ALL_CURRENT (in_force[0] == head && in_force[1] == head)
+#endif
 
 ltl replicas_converge { (<> (edited[0] && edited[1])) && (<> [] ALL_CURRENT) }
