--- a/Libraries/LibProtocol/Datagrams.cpp
+++ b/Libraries/LibProtocol/Datagrams.cpp
@@ -32,6 +32,7 @@
         { "r", report.running },
         { "w", report.waiting },
         { "p", report.prefillBacklog },
+        { "b", report.shortBacklog },
         { "s", report.stepMicroseconds },
         { "g", report.ageMilliseconds },
     };
@@ -46,6 +47,7 @@
         { "v", gossip.documentVersion },
         { "g", gossip.confirmationAgeMilliseconds },
         { "u", gossip.usage },
+        { "n", gossip.usageEpoch },
         { "r", gossip.answer },
     };
 }
@@ -72,6 +74,7 @@
         .running = requireInteger(json, "r"),
         .waiting = requireInteger(json, "w"),
         .prefillBacklog = requireInteger(json, "p"),
+        .shortBacklog = optionalInteger(json, "b", -1, -1),
         .stepMicroseconds = requireInteger(json, "s"),
         .ageMilliseconds = requireInteger(json, "g"),
     };
@@ -91,6 +94,7 @@
         .address = requireString(json, "a"),
         .documentVersion = requireInteger(json, "v"),
         .confirmationAgeMilliseconds = requireInteger(json, "g"),
+        .usageEpoch = optionalInteger(json, "n", 0),
         .answer = requireBool(json, "r"),
     };
     for (const auto &[customer, usage] : requireObject(json, "u").items()) {
--- /dev/null
+++ b/include/lavenderpick/Limits/Admission.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "lavenderpick/Base/Clock.h"
+#include "lavenderpick/Base/Reasons.h"
+#include "lavenderpick/Limits/CustomerBudgets.h"
+
+#include <optional>
+#include <string>
+
+namespace Lavenderpick {
+
+struct AdmissionRequest
+{
+    std::string customer;
+    int rank { 0 };                ///< Position of the priority in the document: 0 is shed last.
+    int rankCount { 1 };           ///< Priorities in the document.
+    double chargedSeconds { 0 };   ///< Predicted cost for the budget.
+    double idleSeconds { 0 };      ///< Predicted time to completion on an idle engine.
+    double waitSeconds { 0 };      ///< Predicted wait at the chosen upstream.
+    double remainingSeconds { 0 }; ///< Until the deadline.
+};
+
+struct AdmissionDecision
+{
+    std::optional<RefusalReason> refusal {};
+    std::optional<int> retryAfterSeconds {}; ///< Set where waiting helps.
+
+    bool admitted() const { return !refusal; }
+    bool operator==(const AdmissionDecision &) const = default;
+};
+
+struct AdmissionSettings
+{
+    /// Predicted times vary by about a fifth; a request that would only just finish is refused
+    /// while the caller can still go elsewhere.
+    double deadlineMargin { 1.25 };
+    double shedPressure { 1.0 };  ///< The lowest priority is shed above this pressure.
+    double shedSpan { 1.0 };      ///< The highest priority is shed above the sum of both.
+    double recoverySeconds { 5 }; ///< Time in which pressure falls by 1 once shedding began.
+    int maximumRetryAfterSeconds { 300 };
+};
+
+/// Refuses early what can't succeed. Not safe for concurrent use.
+class Admission
+{
+public:
+    Admission(const AdmissionSettings &settings, CustomerBudgets &budgets);
+
+    /// The fleet's load as seen here: 1 is full. Call about once a second.
+    void setPressure(double pressure) { m_pressure = pressure; }
+
+    /// Charges the customer's budget when it admits. The order is deadline, shedding, budget, so
+    /// that a request which is refused anyway costs no budget.
+    AdmissionDecision admit(const AdmissionRequest &request, TimePoint now);
+
+private:
+    std::optional<AdmissionDecision> checkDeadline(const AdmissionRequest &request) const;
+    std::optional<AdmissionDecision> checkPressure(const AdmissionRequest &request) const;
+    int retryAfter(double seconds) const;
+
+    AdmissionSettings m_settings;
+    CustomerBudgets &m_budgets;
+    double m_pressure { 0 };
+};
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Limits/CustomerBudgets.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "lavenderpick/Base/Clock.h"
+#include "lavenderpick/Limits/UsageGossip.h"
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace Lavenderpick {
+
+/// A customer's limits, in seconds of predicted engine time (`PredictedCost::chargedSeconds`).
+struct CustomerLimit
+{
+    double costPerSecond { 1 }; ///< Guaranteed over all entries together.
+    double weight { 1 };        ///< Share of idle capacity that is lent.
+
+    bool operator==(const CustomerLimit &) const = default;
+};
+
+struct BudgetSettings
+{
+    double rateSeconds { 10 };  ///< Averaging time of the offered load.
+    double burstSeconds { 5 };  ///< Unused budget kept.
+    double unknownShare { 4 };  ///< Share of an entry until usage is known, over 1/entries.
+    double floorShare { 0.25 }; ///< Least share of an entry, over 1/entries.
+    double lendLow { 0.7 };     ///< Pressure below which more idle capacity is lent.
+    double lendHigh { 0.9 };    ///< Pressure above which it is taken back.
+    double lendStep { 0.05 };   ///< Lent capacity added a second, as a share of `lendMaximum`.
+    double lendMaximum { 50 };  ///< Most capacity lent per unit of weight, cost a second.
+    std::size_t maximumCustomers { 16'384 }; ///< Customers with state; about twice the target size.
+};
+
+/// Budgets of all customers at one entry, shared with the other entries by gossip. Not safe for
+/// concurrent use; no call does I/O.
+///
+/// Each entry admits its part of a customer's budget, in proportion to the load offered to it. A
+/// bucket may go into debt by one request, so that a request larger than a second's budget is
+/// admitted and paid for afterwards.
+class CustomerBudgets
+{
+public:
+    explicit CustomerBudgets(const BudgetSettings &settings = {});
+
+    /// Sets a customer's limit from the document; unknown customers get `CustomerLimit {}`.
+    void setLimit(const std::string &customer, const CustomerLimit &limit);
+    void removeLimit(const std::string &customer);
+
+    /// Entries that share the budgets, including this one.
+    void setEntryCount(std::size_t count);
+
+    /// Charges `cost` and returns nothing when the customer has budget; else returns the time after
+    /// which it has, if its share stays as it is. `cost` counts as offered in both cases.
+    std::optional<Duration> charge(const std::string &customer, double cost, TimePoint now);
+
+    /// Corrects a charge once the true cost is known, or returns it when the request did not run.
+    void refund(const std::string &customer, double cost);
+
+    /// Adjusts the capacity that is lent. `pressure` is the fleet's utilisation as seen here: 1 is
+    /// full. Call once a second.
+    void adjustLending(double pressure, TimePoint now);
+
+    /// Fills `usage` and `usageEpoch` of a datagram to a random peer (M5).
+    void fillGossip(Gossip &gossip, TimePoint now);
+
+    /// Merges a peer's datagram; for a question, fills the answer's usage.
+    void mergeGossip(const Gossip &received, Gossip *answer, TimePoint now);
+
+    /// Predicted cost a second that the customer offers over all entries; nothing until known.
+    std::optional<double> clusterUsage(const std::string &customer) const;
+
+    double lentPerWeight() const { return m_lent; }
+
+private:
+    struct Account
+    {
+        double level { 0 };   ///< Of the bucket; negative is debt.
+        double offered { 0 }; ///< Cost a second offered here, exponentially averaged.
+        TimePoint updated {};
+        bool started { false };
+    };
+
+    Account &account(const std::string &customer, TimePoint now);
+    const CustomerLimit &limit(const std::string &customer) const;
+    double localRate(const std::string &customer, const Account &account) const;
+    void advance(const std::string &customer, Account &account, TimePoint now);
+    void makeRoom(TimePoint now);
+    bool isHot(const std::string &customer, const Account &account) const;
+
+    BudgetSettings m_settings;
+    std::unordered_map<std::string, CustomerLimit> m_limits;
+    std::unordered_map<std::string, Account> m_accounts;
+    UsageGossip m_gossip;
+    std::size_t m_entries { 1 };
+    double m_lent { 0 };
+    TimePoint m_lendingAdjusted {};
+};
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Limits/FairQueue.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "lavenderpick/Base/Clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Lavenderpick {
+
+struct QueuedRequest
+{
+    std::uint64_t id { 0 }; ///< Chosen by the caller, unique in the queue.
+    std::string customer;
+    double weight { 1 };
+    int rank { 0 };    ///< Of the priority: 0 is served first and shed last.
+    double cost { 0 }; ///< Predicted engine seconds.
+    TimePoint deadline {};
+    TimePoint enqueued {};
+
+    bool operator==(const QueuedRequest &) const = default;
+};
+
+struct FairQueueSettings
+{
+    std::size_t maximumRequests { 256 };
+    Duration aging { Seconds(10) }; ///< Waiting time after which any request counts as aged.
+    int agedTurn { 4 };             ///< Every how many turns an aged request goes first.
+};
+
+/// A bounded queue: by rank, then weighted fair over customers, then earliest deadline. Every
+/// fourth turn serves the longest waiting request if it has aged, so nothing starves. Not safe for
+/// concurrent use.
+class FairQueue
+{
+public:
+    explicit FairQueue(const FairQueueSettings &settings = {});
+
+    /// Adds the request. When the queue is full, the request of the lowest priority and latest
+    /// deadline leaves and is returned, which may be the new one.
+    std::optional<QueuedRequest> push(const QueuedRequest &request);
+
+    /// The next request whose deadline has not passed; call `expire` for the others.
+    std::optional<QueuedRequest> pop(TimePoint now);
+
+    /// Removes and returns the requests whose deadline has passed.
+    std::vector<QueuedRequest> expire(TimePoint now);
+
+    /// Returns false when the request is not queued.
+    bool remove(std::uint64_t id);
+
+    std::size_t size() const { return m_requests.size(); }
+    double queuedCost() const { return m_queuedCost; }
+
+private:
+    struct Flow
+    {
+        double tag { 0 }; ///< Virtual start time of the flow's next request.
+        std::set<std::pair<TimePoint, std::uint64_t>> byDeadline;
+    };
+    using FlowKey = std::pair<int, std::string>; ///< Rank and customer.
+
+    QueuedRequest take(std::uint64_t id);
+    std::optional<std::uint64_t> agedRequest(TimePoint now);
+    std::uint64_t fairRequest() const;
+
+    FairQueueSettings m_settings;
+    std::map<std::uint64_t, QueuedRequest> m_requests;
+    std::map<FlowKey, Flow> m_flows;
+    std::map<int, std::set<std::pair<double, std::string>>> m_order; ///< Per rank, flows by tag.
+    std::set<std::pair<TimePoint, std::uint64_t>> m_byAge;
+    std::set<std::tuple<int, TimePoint, std::uint64_t>> m_byValue; ///< Last is shed first.
+    std::map<int, double> m_virtualTime;
+    double m_queuedCost { 0 };
+    int m_turn { 0 };
+};
+
+} // namespace Lavenderpick
--- a/include/lavenderpick/Protocol/Datagrams.h
+++ b/include/lavenderpick/Protocol/Datagrams.h
@@ -33,6 +33,7 @@
     std::int64_t running { 0 };
     std::int64_t waiting { 0 };
     std::int64_t prefillBacklog { 0 };
+    std::int64_t shortBacklog { -1 }; ///< The part in short prompts; -1 when not known.
     std::int64_t stepMicroseconds { 0 };
     std::int64_t ageMilliseconds { 0 }; ///< Age of the engine's own report.
 
@@ -49,8 +50,9 @@
         0
     }; ///< Time since the store confirmed that version.
     std::map<std::string, double>
-            usage {};      ///< Cost per second admitted here, for customers near their budget.
-    bool answer { false }; ///< Set on the reply, which is not answered again.
+            usage {}; ///< Cost per second admitted here, for customers near their budget.
+    std::int64_t usageEpoch { 0 }; ///< Averages of different epochs are not mixed.
+    bool answer { false };         ///< Set on the reply, which is not answered again.
 
     bool operator==(const Gossip &) const = default;
 };
--- /dev/null
+++ b/include/lavenderpick/Routing/BaselinePolicies.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "lavenderpick/Routing/RoutingPolicy.h"
+
+namespace Lavenderpick {
+
+/// Usable candidates in turn. A baseline for measurements.
+class RoundRobinPolicy final : public RoutingPolicy
+{
+public:
+    explicit RoundRobinPolicy(const CostModel &costModel)
+        : m_costModel(costModel)
+    { }
+
+    RouteDecision choose(const RouteRequest &request, std::span<const Candidate> candidates,
+                         TimePoint now, Random &random) override;
+
+private:
+    const CostModel &m_costModel;
+    std::size_t m_next { 0 };
+};
+
+/// The usable candidate with the fewest outstanding requests of this entry, as common proxies do.
+/// A baseline for measurements.
+class LeastOutstandingPolicy final : public RoutingPolicy
+{
+public:
+    LeastOutstandingPolicy(const CostModel &costModel, const LoadView &loadView)
+        : m_costModel(costModel)
+        , m_loadView(loadView)
+    { }
+
+    RouteDecision choose(const RouteRequest &request, std::span<const Candidate> candidates,
+                         TimePoint now, Random &random) override;
+
+private:
+    const CostModel &m_costModel;
+    const LoadView &m_loadView;
+};
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Routing/LoadView.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "lavenderpick/Base/Clock.h"
+#include "lavenderpick/Protocol/Datagrams.h"
+#include "lavenderpick/Routing/CostModel.h"
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+namespace Lavenderpick {
+
+/// Prompts up to this length count as short; chunked prefill delays them by longer ones.
+constexpr std::int64_t shortPromptTokens = 16'384;
+
+/// The predicted load of one upstream at one moment.
+struct UpstreamLoad
+{
+    bool known { false }; ///< A report has arrived.
+    bool accepting { true };
+    std::int64_t kvFree { 0 };
+    std::int64_t kvCapacity { 0 };
+    double shortWaitSeconds { 0 };  ///< Prefill work that a short prompt waits for.
+    double totalWaitSeconds { 0 };  ///< All prefill work.
+    std::int64_t requests { 0 };    ///< Running and waiting.
+    std::int64_t ownRequests { 0 }; ///< Requests of this entry in flight.
+    double stepSeconds { 0 };
+
+    bool operator==(const UpstreamLoad &) const = default;
+};
+
+/// Load reports corrected by what this entry sent since. Not safe for concurrent use.
+///
+/// A report describes the past: work drains and other entries send. The view drains the reported
+/// backlog by the time passed and adds its own later sends, which no report shows yet.
+class LoadView
+{
+public:
+    explicit LoadView(const CostModel &costModel)
+        : m_costModel(costModel)
+    { }
+
+    /// Reports of an earlier incarnation or sequence are ignored.
+    void observeReport(const LoadReport &report, TimePoint now);
+
+    void recordSent(const std::string &upstream, const std::string &attemptId,
+                    const PredictedCost &cost, bool shortPrompt, TimePoint now);
+
+    /// The attempt's prefill is done.
+    void recordFirstToken(const std::string &upstream, const std::string &attemptId);
+
+    /// The attempt ended in any way.
+    void recordFinished(const std::string &upstream, const std::string &attemptId);
+
+    UpstreamLoad load(const std::string &upstream, TimePoint now) const;
+
+    /// Forgets an upstream that is gone.
+    void forget(const std::string &upstream);
+
+private:
+    struct Sent
+    {
+        std::string attemptId;
+        PredictedCost cost;
+        TimePoint at;
+        bool shortPrompt { false };
+        bool prefilled { false };
+    };
+    struct State
+    {
+        LoadReport report;
+        bool reported { false };
+        TimePoint asOf {};
+        double shortBacklogSeconds { 0 };
+        double totalBacklogSeconds { 0 };
+        std::deque<Sent> sent; ///< Attempts in flight.
+    };
+
+    static std::deque<Sent>::iterator find(State &state, const std::string &attemptId);
+
+    const CostModel &m_costModel;
+    std::unordered_map<std::string, State> m_states;
+};
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Routing/PrefixIndex.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "lavenderpick/Base/Clock.h"
+
+#include <cstdint>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Lavenderpick {
+
+/// One prefix of a prompt.
+struct PrefixPoint
+{
+    std::uint64_t hash { 0 };
+    std::int64_t tokens { 0 };
+
+    bool operator==(const PrefixPoint &) const = default;
+};
+
+/// Hashes of a prompt's prefixes at lengths that grow by half, shortest first. `model` separates
+/// the caches of different models.
+std::vector<PrefixPoint> prefixPoints(std::string_view model, std::string_view prompt,
+                                      std::int64_t bytesPerToken = 4);
+
+struct PrefixHolder
+{
+    std::string upstream;
+    std::int64_t tokens { 0 }; ///< Prompt tokens that the upstream probably has in its cache.
+
+    bool operator==(const PrefixHolder &) const = default;
+};
+
+/// Where prefixes of recent prompts are cached. Bounded; not safe for concurrent use.
+///
+/// Engines evict without telling, and cache events are late or missing. So a place expires unless
+/// it is confirmed, and the cached tokens that an attempt reports correct it.
+class PrefixIndex
+{
+public:
+    explicit PrefixIndex(std::size_t maximumPrefixes = 65'536, Duration lifetime = Seconds(600));
+
+    /// The longest known prefix per upstream, at most `holdersPerPrefix` upstreams.
+    std::vector<PrefixHolder> find(const std::vector<PrefixPoint> &points, TimePoint now) const;
+
+    /// The upstream has read the prompt.
+    void recordPrompt(const std::vector<PrefixPoint> &points, const std::string &upstream,
+                      TimePoint now);
+
+    /// The upstream found only `cachedTokens` of the prompt in its cache before it read it.
+    void recordCachedTokens(const std::vector<PrefixPoint> &points, const std::string &upstream,
+                            std::int64_t cachedTokens);
+
+    /// A cache event; an unknown prefix is ignored.
+    void recordEviction(std::uint64_t hash, const std::string &upstream);
+
+    /// The upstream restarted or is gone: its cache is empty.
+    void forget(const std::string &upstream);
+
+    std::size_t size() const { return m_places.size(); }
+
+    static constexpr std::size_t holdersPerPrefix = 4;
+
+private:
+    struct Holder
+    {
+        std::string upstream;
+        TimePoint confirmed;
+    };
+    struct Place
+    {
+        std::vector<Holder> holders;
+        std::list<std::uint64_t>::iterator age;
+    };
+
+    Place &touch(std::uint64_t hash);
+
+    std::size_t m_maximumPrefixes;
+    Duration m_lifetime;
+    std::unordered_map<std::uint64_t, Place> m_places;
+    std::list<std::uint64_t> m_byAge; ///< Least recently used first.
+};
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Routing/Router.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "lavenderpick/Routing/RoutingPolicy.h"
+
+#include <array>
+
+namespace Lavenderpick {
+
+struct RouterSettings
+{
+    Objective objective { Objective::ShortSlowdown };
+    std::size_t samples { 4 }; ///< Candidates compared per distance.
+    /// Round trips to the same zone, the same region and far regions.
+    std::array<double, 3> distanceSeconds { 0.0, 0.002, 0.08 };
+    /// A prefix holder may be busier than the best other candidate by at most this time.
+    double affinityLimitSeconds { 1.0 };
+    double memoryShare { 0.95 }; ///< Of the KV memory that may be planned for.
+    bool useAffinity { true };
+};
+
+/// The policy of section 6 of the design page. Not safe for concurrent use.
+class Router final : public RoutingPolicy
+{
+public:
+    Router(const RouterSettings &settings, const CostModel &costModel, const LoadView &loadView,
+           const PrefixIndex &prefixIndex);
+
+    RouteDecision choose(const RouteRequest &request, std::span<const Candidate> candidates,
+                         TimePoint now, Random &random) override;
+
+    /// Engines for a prompt that needs more memory than one has (P1): the fewest of one distance
+    /// whose free memory holds it, in ascending upstream name. Empty when there are not enough.
+    std::vector<std::string> chooseGroup(const RouteRequest &request,
+                                         std::span<const Candidate> candidates, TimePoint now,
+                                         std::size_t maximumEngines) const;
+
+    void setObjective(Objective objective) { m_settings.objective = objective; }
+
+private:
+    struct Scored
+    {
+        const Candidate *candidate { nullptr };
+        RouteDecision decision;
+        double score { 0 };
+        bool fits { false };
+    };
+
+    Scored score(const RouteRequest &request, const Candidate &candidate, std::int64_t cachedTokens,
+                 TimePoint now) const;
+    std::vector<Scored> scoreSample(const RouteRequest &request,
+                                    std::span<const Candidate> candidates, TimePoint now,
+                                    Random &random) const;
+    std::optional<Scored> bestHolder(const RouteRequest &request,
+                                     std::span<const Candidate> candidates, TimePoint now) const;
+
+    RouterSettings m_settings;
+    const CostModel &m_costModel;
+    const LoadView &m_loadView;
+    const PrefixIndex &m_prefixIndex;
+};
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Routing/RoutingPolicy.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "lavenderpick/Base/Clock.h"
+#include "lavenderpick/Base/Random.h"
+#include "lavenderpick/Base/Reasons.h"
+#include "lavenderpick/Routing/CostModel.h"
+#include "lavenderpick/Routing/LoadView.h"
+#include "lavenderpick/Routing/PrefixIndex.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Lavenderpick {
+
+/// What the section `priorities` of the document asks routing to minimise.
+enum class Objective {
+    ShortSlowdown,
+    FirstTokenByLength,
+};
+
+std::string_view toString(Objective objective);
+
+/// Throws `Error` of kind InvalidDocument for another name than short_slowdown or
+/// first_token_by_length.
+Objective parseObjective(std::string_view name);
+
+/// One upstream that may be chosen.
+struct Candidate
+{
+    std::string upstream;
+    int distance { 0 };   ///< 0 same availability zone, 1 same region, 2 far.
+    bool usable { true }; ///< False for suspect, leaving and ejected upstreams.
+    double share { 1 };   ///< Below 1 while the upstream ramps up after an ejection.
+};
+
+struct RouteRequest
+{
+    std::string model;
+    std::int64_t promptTokens { 0 };
+    std::int64_t outputTokens { 0 };        ///< Expected, at most the request's maximum.
+    std::span<const PrefixPoint> prefix {}; ///< Empty without prefix affinity.
+    std::span<const std::string> tried {};  ///< Upstreams that earlier attempts used.
+};
+
+struct RouteDecision
+{
+    std::string upstream; ///< Empty when refused.
+    RefusalReason refusal { RefusalReason::NoUpstream };
+    PredictedCost cost {};
+    double firstTokenSeconds { 0 }; ///< Predicted, including waiting and distance.
+    double waitSeconds { 0 };       ///< The part of it spent waiting for other work.
+    std::int64_t cachedTokens { 0 };
+
+    explicit operator bool() const { return !upstream.empty(); }
+};
+
+/// Chooses an upstream for an attempt.
+class RoutingPolicy
+{
+public:
+    virtual ~RoutingPolicy() = default;
+
+    /// Refuses with NoUpstream when no candidate is usable, and with UpstreamMemory when none has
+    /// the memory.
+    virtual RouteDecision choose(const RouteRequest &request, std::span<const Candidate> candidates,
+                                 TimePoint now, Random &random) = 0;
+};
+
+} // namespace Lavenderpick
