Base: Share the objective between document and routing

Cause: document and routing each declared Lavenderpick::Objective, which collides as soon as an entry includes both and links both libraries. Change: one declaration in Base, included by both headers; the definitions in LibDocument and LibRouting have to go where they exist already.

--- a/include/lavenderpick/Document/Entries.h
+++ b/include/lavenderpick/Document/Entries.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lavenderpick/Base/Clock.h"
+#include "lavenderpick/Base/Objective.h"
 #include "lavenderpick/Document/EntryReader.h"
 
 #include <cstdint>
@@ -87,13 +88,6 @@
     static ModelEntry parse(const std::string &name, const nlohmann::json &json);
 };
 
-enum class Objective {
-    ShortSlowdown,
-    FirstTokenByLength,
-};
-
-std::string_view toString(Objective objective);
-
 struct PriorityEntry
 {
     std::string name;
--- a/include/lavenderpick/Routing/RoutingPolicy.h
+++ b/include/lavenderpick/Routing/RoutingPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lavenderpick/Base/Clock.h"
+#include "lavenderpick/Base/Objective.h"
 #include "lavenderpick/Base/Random.h"
 #include "lavenderpick/Base/Reasons.h"
 #include "lavenderpick/Routing/CostModel.h"
@@ -14,18 +15,6 @@
 
 namespace Lavenderpick {
 
-/// What the section `priorities` of the document asks routing to minimise.
-enum class Objective {
-    ShortSlowdown,
-    FirstTokenByLength,
-};
-
-std::string_view toString(Objective objective);
-
-/// Throws `Error` of kind InvalidDocument for another name than short_slowdown or
-/// first_token_by_length.
-Objective parseObjective(std::string_view name);
-
 /// One upstream that may be chosen.
 struct Candidate
 {
