--- /dev/null
+++ b/Services/Entry/AdmissionControl.cpp
@@ -0,0 +1,118 @@
+#include "Services/Entry/AdmissionControl.h"
+
+#include <algorithm>
+
+namespace Lavenderpick {
+
+namespace {
+
+std::string detailOf(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::CustomerBudget:
+        return "Your budget is used up for now. Send less or wait.";
+    case RefusalReason::DeadlineTooShort:
+        return "The request can't finish before its deadline. Allow more time.";
+    default:
+        return "The fleet is overloaded and serves higher priorities first. Try again later.";
+    }
+}
+
+} // namespace
+
+AdmissionControl::AdmissionControl(const EntryContext &context)
+    : m_context(context)
+    , m_admission({}, m_budgets)
+{ }
+
+void AdmissionControl::admit(const CompletionOrder &order, const RouteDecision &prediction)
+{
+    const AdmissionRequest request = requestFor(order, prediction);
+    AdmissionDecision decision;
+    {
+        const std::lock_guard lock(m_mutex);
+        decision = m_admission.admit(request, m_context.clock.now());
+    }
+    if (!decision.admitted())
+        throw ProblemError({ .reason = *decision.refusal,
+                             .detail = detailOf(*decision.refusal),
+                             .retryAfterSeconds = decision.retryAfterSeconds });
+}
+
+void AdmissionControl::refund(const std::string &customer, double chargedSeconds)
+{
+    const std::lock_guard lock(m_mutex);
+    m_budgets.refund(customer, chargedSeconds);
+}
+
+void AdmissionControl::followDocument()
+{
+    const auto document = m_context.replica.current();
+    const DocumentSection &customers = document->section(SectionName::customers);
+    const std::lock_guard lock(m_mutex);
+    if (customers.version == m_customersVersion)
+        return;
+    for (const auto &[name, entry] : customers.entries) {
+        const auto before = m_customers.entries.find(name);
+        if (before != m_customers.entries.end() && before->second.version == entry.version)
+            continue;
+        if (const auto customer = document->customer(name))
+            m_budgets.setLimit(name, { .costPerSecond = customer->budget,
+                                       .weight = customer->weight });
+    }
+    for (const auto &[name, entry] : m_customers.entries) {
+        if (!customers.entries.contains(name))
+            m_budgets.removeLimit(name);
+    }
+    m_customers = customers;
+    m_customersVersion = customers.version;
+}
+
+void AdmissionControl::adjust(double pressure, std::size_t entries)
+{
+    const std::lock_guard lock(m_mutex);
+    m_budgets.setEntryCount(std::max<std::size_t>(entries, 1));
+    m_budgets.adjustLending(pressure, m_context.clock.now());
+    m_admission.setPressure(pressure);
+}
+
+void AdmissionControl::fillGossip(Gossip &gossip)
+{
+    const std::lock_guard lock(m_mutex);
+    m_budgets.fillGossip(gossip, m_context.clock.now());
+}
+
+void AdmissionControl::mergeGossip(const Gossip &received, Gossip *answer)
+{
+    const std::lock_guard lock(m_mutex);
+    m_budgets.mergeGossip(received, answer, m_context.clock.now());
+}
+
+AdmissionRequest AdmissionControl::requestFor(const CompletionOrder &order,
+                                              const RouteDecision &prediction) const
+{
+    // Admission wants 0 for the priority that is shed last; the document numbers them the other way
+    // round and may leave gaps.
+    const auto document = m_context.replica.current();
+    int rank = 0;
+    int rankCount = 0;
+    const auto own = document->priority(order.priority);
+    for (const auto &[name, entry] : document->section(SectionName::priorities).entries) {
+        const auto other = document->priority(name);
+        ++rankCount;
+        rank += own && other && other->shedOrder > own->shedOrder ? 1 : 0;
+    }
+    const PredictedCost &cost = prediction.cost;
+    return {
+        .customer = order.customer,
+        .rank = rank,
+        .rankCount = std::max(rankCount, 1),
+        .chargedSeconds = cost.chargedSeconds(),
+        .idleSeconds = cost.prefillSeconds + cost.decodeSeconds,
+        .waitSeconds = prediction.waitSeconds,
+        .remainingSeconds =
+                std::chrono::duration<double>(order.deadline - m_context.clock.now()).count(),
+    };
+}
+
+} // namespace Lavenderpick
--- a/Services/Entry/CompletionRelay.cpp
+++ b/Services/Entry/CompletionRelay.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <thread>
+#include <utility>
 
 namespace Lavenderpick {
 
@@ -63,9 +64,10 @@
 {
     const CompletionOrder &order;
     CompletionReceiver &receiver;
-    const PinnedUpstream *pinned;
     CompletionStream stream;
     TimePoint started;
+    const PinnedUpstream *pinned { nullptr };
+    SelectedUpstream next {}; ///< Chosen already.
     SelectedUpstream target {};
     ServerSentEventParser parser {};
     std::vector<std::string> tried {};
@@ -91,7 +93,7 @@
     {
         return { { "request_id", order.requestId },
                  { "attempt_id", stream.attemptId() },
-                 { "upstream", target.upstream } };
+                 { "upstream", target.upstream() } };
     }
 };
 
@@ -118,12 +120,12 @@
     while (true) {
         if (auto problem = stopReason(run))
             return fail(run, *problem);
-        run.target = pinned != nullptr ? pinned->target : m_selector.select(run.selection());
+        run.target = nextTarget(run);
         StreamStep step = StreamStep::NewAttempt;
         if (run.target) {
             step = runAttempt(run, run.target);
         } else {
-            run.problem = Problem { .reason = run.target.refusal,
+            run.problem = Problem { .reason = run.target.decision.refusal,
                                     .detail = "No upstream of this model can take the request now. "
                                               "Try again later.",
                                     .retryAfterSeconds = 1 };
@@ -142,12 +144,22 @@
     }
 }
 
+SelectedUpstream CompletionRelay::nextTarget(Run &run) const
+{
+    if (run.pinned != nullptr)
+        return run.pinned->target;
+    if (run.next)
+        return std::exchange(run.next, {});
+    return m_selector.select(run.selection());
+}
+
 StreamStep CompletionRelay::runAttempt(Run &run, const SelectedUpstream &target)
 {
     run.stream.startAttempt(newIdentifier(m_random, "attempt"));
     run.attemptToken = false;
     run.refused = false;
     run.problem.reset();
+    const std::int64_t firstOffset = run.stream.nextOffset();
     m_selector.onSent(run.stream.attemptId(), target, run.selection());
     StreamStep step = readStream(run, target.address, attemptRequest(run));
     while (step == StreamStep::Resume) {
@@ -165,7 +177,7 @@
     m_selector.onFinished(run.stream.attemptId(), !complete && !run.refused && !stopped,
                           complete ? std::optional(run.stream.usage().cachedTokens) : std::nullopt,
                           run.stream.nextOffset());
-    run.tried.push_back(target.upstream);
+    run.tried.push_back(target.upstream());
     return step;
 }
 
@@ -336,10 +348,11 @@
     m_metrics.increment("lavenderpick_completions_total", "outcome=\"complete\"");
     log(LogLevel::Debug, "relay", "Completed", run.logFields());
     return { .text = run.stream.text(),
+             .tokens = run.stream.nextOffset(),
              .finishReason = run.stream.finishReason(),
              .usage = run.stream.usage(),
              .attemptId = run.stream.attemptId(),
-             .upstream = run.target.upstream };
+             .upstream = run.target.upstream() };
 }
 
 CompletionOutcome CompletionRelay::fail(Run &run, Problem problem)
@@ -351,8 +364,9 @@
     fields["reason"] = std::string(toString(problem.reason));
     log(LogLevel::Info, "relay", "Failed: " + problem.detail, fields);
     return { .text = run.stream.text(),
+             .tokens = run.stream.nextOffset(),
              .attemptId = run.stream.attemptId(),
-             .upstream = run.target.upstream,
+             .upstream = run.target.upstream(),
              .problem = std::move(problem) };
 }
 
--- a/Services/Entry/CompletionRelay.h
+++ b/Services/Entry/CompletionRelay.h
@@ -26,7 +26,7 @@
     std::int64_t promptTokens { 0 }; ///< Estimated.
     std::int64_t maximumTokens { 0 };
     TimePoint deadline {};
-    std::string resumeText {};       ///< Text that an earlier holder of a job stored.
+    std::string resumeText {};       ///< Text that an earlier run of the completion delivered.
     std::int64_t resumeOffset { 0 }; ///< Tokens in `resumeText`.
 };
 
@@ -34,6 +34,7 @@
 struct CompletionOutcome
 {
     std::string text {};
+    std::int64_t tokens { 0 }; ///< In `text`.
     std::string finishReason {};
     Usage usage {};
     std::string attemptId {}; ///< The last attempt.
@@ -78,14 +79,20 @@
     CompletionRelay(const Settings &settings, const Clock &clock, Random &random, Metrics &metrics,
                     PeerClient &peers, UpstreamSelector &selector, Background background);
 
-    /// Never throws for a failing upstream; the outcome has a problem then. With `pinned`, every
-    /// attempt runs there.
+    /// Never throws for a failing upstream; the outcome has a problem then. The first attempt runs
+    /// at `first`, if it is set.
     CompletionOutcome run(const CompletionOrder &order, CompletionReceiver &receiver,
-                          const PinnedUpstream *pinned = nullptr);
+                          const SelectedUpstream &first = {});
+
+    /// Like `run`, with every attempt at `pinned`.
+    CompletionOutcome runPinned(const CompletionOrder &order, CompletionReceiver &receiver,
+                                const PinnedUpstream &pinned);
 
 private:
     struct Run;
 
+    CompletionOutcome runToEnd(Run &run);
+    SelectedUpstream nextTarget(Run &run) const;
     StreamStep runAttempt(Run &run, const SelectedUpstream &target);
     StreamStep readStream(Run &run, const std::string &address, const HttpRequest &request);
     bool receivePiece(Run &run, std::string_view piece, StreamStep &step);
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -33,6 +33,7 @@
 {
     std::int64_t openRequests { 600 };
     std::int64_t waitingConnections { 256 };
+    std::int64_t waitingRequests { 256 }; ///< Admitted requests without an upstream.
     std::int64_t bodyBytes { 16 * 1024 * 1024 };
     std::int64_t jobs { 16 }; ///< Jobs that run at once at this entry.
     Duration defaultDeadline { Seconds(120) };
--- a/Services/Entry/UpstreamSelector.h
+++ b/Services/Entry/UpstreamSelector.h
@@ -2,6 +2,7 @@
 
 #include "lavenderpick/Base/Clock.h"
 #include "lavenderpick/Base/Reasons.h"
+#include "lavenderpick/Routing/RoutingPolicy.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,19 +20,26 @@
     std::string_view prompt {};
     std::int64_t promptTokens { 0 };
     std::int64_t outputTokens { 0 };
-    std::span<const std::string> tried {}; ///< Upstreams of earlier attempts, which come last.
+    std::span<const std::string> tried {}; ///< Upstreams of earlier attempts, used only when there
+                                           ///< is no other.
 };
 
 /// An upstream and the agent beside it.
 struct SelectedUpstream
 {
-    std::string upstream; ///< Empty when refused.
-    std::string address;
-    RefusalReason refusal { RefusalReason::NoUpstream };
-    double firstTokenSeconds { 0 }; ///< Predicted.
-    double waitSeconds { 0 };       ///< The part of it spent behind other work.
+    RouteDecision decision {}; ///< Says why when nothing was selected.
+    std::string address {};    ///< Of the agent.
 
-    explicit operator bool() const { return !upstream.empty(); }
+    explicit operator bool() const { return !address.empty(); }
+    const std::string &upstream() const { return decision.upstream; }
+};
+
+/// How an attempt ended.
+struct AttemptResult
+{
+    bool failed { false }; ///< The upstream or its agent broke down; a refusal is not a failure.
+    std::optional<std::int64_t> cachedTokens {}; ///< Set when the attempt ended completely.
+    std::int64_t outputTokens { 0 };             ///< Tokens that this attempt sent.
 };
 
 /// Chooses upstreams and learns from what became of the attempts. Implementations are safe for
@@ -46,14 +54,8 @@
     /// The attempt is about to be sent to a selected upstream.
     virtual void onSent(const std::string &attemptId, const SelectedUpstream &target,
                         const SelectionRequest &request) = 0;
-
     virtual void onFirstToken(const std::string &attemptId) = 0;
-
-    /// The attempt is over. `failed` is set when the upstream or its agent broke down; a refusal is
-    /// not a failure. `cachedTokens` is set when the attempt ended completely.
-    virtual void onFinished(const std::string &attemptId, bool failed,
-                            std::optional<std::int64_t> cachedTokens,
-                            std::int64_t outputTokens) = 0;
+    virtual void onFinished(const std::string &attemptId, const AttemptResult &result) = 0;
 
     /// Whether another attempt may be made now, within the retry budget.
     virtual bool mayRetry(RetryReason reason) = 0;
