LibUpstream: Follow the document's plan entries and raise the fence in the store

The document's module defines plan entries with a grace period, so the module's own plan type goes. A move to a model or role serves again once the engine has become it; a move to another firm never does. A long prompt whose reservation is held here goes on while the upstream drains, because a refusal would cut off an admitted request. The fence is raised by a settled conditional write, so a lost response leaves no doubt whose it is.

--- a/Libraries/LibUpstream/PlanFollower.cpp
+++ b/Libraries/LibUpstream/PlanFollower.cpp
@@ -1,50 +1,33 @@
 #include "lavenderpick/Upstream/PlanFollower.h"
 
-#include "lavenderpick/Base/Error.h"
-#include "lavenderpick/Base/Json.h"
-
 namespace Lavenderpick {
 
-std::string_view toString(PlanAction action)
-{
-    switch (action) {
-    case PlanAction::Serve:
-        return "serve";
-    case PlanAction::Stop:
-        return "stop";
-    case PlanAction::Move:
-        return "move";
-    }
-    return "serve";
-}
-
-UpstreamPlan UpstreamPlan::parse(const nlohmann::json &json, std::int64_t epoch)
+MoveTarget MoveTarget::parse(const std::string &to)
 {
-    UpstreamPlan plan { .to = optionalString(json, "to", ""),
-                        .by = optionalInteger(json, "by", 0),
-                        .epoch = epoch };
-    const std::string action = requireString(json, "action");
-    for (const PlanAction known : { PlanAction::Serve, PlanAction::Stop, PlanAction::Move }) {
-        if (toString(known) == action) {
-            plan.action = known;
-            return plan;
-        }
-    }
-    throw Error(ErrorKind::InvalidMessage, "A plan's action is '" + action + "'",
-                "Use serve, stop or move.");
+    const std::size_t colon = to.find(':');
+    const std::string kind = to.substr(0, colon);
+    const std::string name = colon == std::string::npos ? "" : to.substr(colon + 1);
+    if (kind == "model" && !name.empty())
+        return { .model = name };
+    if (kind == "role" && !name.empty())
+        return { .role = name };
+    return { .otherFirm = true };
 }
 
-bool PlanFollower::apply(const UpstreamPlan &plan)
+bool PlanFollower::apply(const PlanEntry &plan, std::int64_t epoch, TimePoint now)
 {
-    if (plan.epoch < m_plan.epoch)
+    if (epoch <= m_epoch)
         return false;
     m_plan = plan;
+    m_epoch = epoch;
+    m_since = now;
+    m_moved = false;
     return true;
 }
 
 bool PlanFollower::accepts() const
 {
-    return m_plan.action == PlanAction::Serve && !m_terminating;
+    return (m_plan.action == PlanAction::Serve || m_moved) && !m_terminating;
 }
 
 bool PlanFollower::isDrained(std::size_t openRequests) const
@@ -52,9 +35,14 @@
     return !accepts() && openRequests == 0;
 }
 
-bool PlanFollower::graceEnded(std::int64_t wallSeconds) const
+bool PlanFollower::graceEnded(TimePoint now) const
+{
+    return m_plan.action != PlanAction::Serve && !m_moved && now - m_since >= m_plan.grace;
+}
+
+bool PlanFollower::leavesFirm() const
 {
-    return m_plan.action != PlanAction::Serve && m_plan.by > 0 && wallSeconds >= m_plan.by;
+    return m_plan.action == PlanAction::Move && MoveTarget::parse(m_plan.to).otherFirm;
 }
 
 } // namespace Lavenderpick
--- a/Libraries/LibUpstream/UpstreamAdmission.cpp
+++ b/Libraries/LibUpstream/UpstreamAdmission.cpp
@@ -132,7 +132,11 @@
 std::optional<RefusalReason> UpstreamAdmission::refusalOf(const AdmissionRequest &request,
                                                           TimePoint now) const
 {
-    if (m_refusing)
+    // The other engines of a long prompt hold memory for it already; refusing its last part would
+    // cut off a request that was admitted.
+    const bool continues =
+            !request.reservationId.empty() && m_ledger.holdsReservation(request.reservationId);
+    if (m_refusing && !(m_refusing == RefusalReason::Draining && continues))
         return m_refusing;
     if (!m_models.contains(request.model))
         return RefusalReason::UnknownModel;
--- a/Tests/LibUpstream/TestEngineControl.cpp
+++ b/Tests/LibUpstream/TestEngineControl.cpp
@@ -1,10 +1,11 @@
+#include "Fakes/FakeTable.h"
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Upstream/InventoryReconciler.h"
 #include "lavenderpick/Upstream/OrderController.h"
 #include "lavenderpick/Upstream/PlanFollower.h"
+#include "lavenderpick/Upstream/UpstreamFence.h"
 
 #include <boost/test/unit_test.hpp>
-#include <nlohmann/json.hpp>
 
 using namespace Lavenderpick;
 
@@ -21,18 +22,50 @@
 {
     PlanFollower follower;
     BOOST_TEST(follower.accepts());
-    BOOST_TEST(follower.apply(UpstreamPlan::parse({ { "action", "stop" }, { "by", 50 } }, 7)));
+    const PlanEntry stop { .action = PlanAction::Stop, .grace = Seconds(50) };
+    BOOST_TEST(follower.apply(stop, 7, start));
     BOOST_TEST(!follower.accepts());
-    BOOST_TEST(!follower.apply(UpstreamPlan::parse({ { "action", "serve" } }, 6)));
+    BOOST_TEST(!follower.apply({}, 6, start));
+    BOOST_TEST(!follower.apply(stop, 7, start + Seconds(40)));
     BOOST_TEST(!follower.isDrained(1));
     BOOST_TEST(follower.isDrained(0));
-    BOOST_TEST(!follower.graceEnded(49));
-    BOOST_TEST(follower.graceEnded(50));
-    BOOST_TEST(follower.apply(UpstreamPlan::parse({ { "action", "serve" } }, 8)));
+    BOOST_TEST(!follower.graceEnded(start + Seconds(49)));
+    BOOST_TEST(follower.graceEnded(start + Seconds(50)));
+    BOOST_TEST(follower.apply({}, 8, start));
     BOOST_TEST(follower.accepts());
     follower.terminate();
     BOOST_TEST(!follower.accepts());
-    BOOST_CHECK_THROW(UpstreamPlan::parse({ { "action", "halt" } }, 9), Error);
+}
+
+// Guards against an upstream that moved to another model and then serves nothing, and against work
+// on an upstream that was handed over.
+BOOST_AUTO_TEST_CASE(moved_upstream_serves_again)
+{
+    PlanFollower follower;
+    follower.apply({ .action = PlanAction::Move, .to = "model:b" }, 3, start);
+    BOOST_TEST(!follower.accepts());
+    BOOST_TEST(!follower.leavesFirm());
+    follower.moveCompleted();
+    BOOST_TEST(follower.accepts());
+    BOOST_TEST(!follower.graceEnded(start + Seconds(9'999)));
+    follower.apply({ .action = PlanAction::Move, .to = "firm:sister" }, 4, start);
+    BOOST_TEST(!follower.accepts());
+    BOOST_TEST(follower.leavesFirm());
+}
+
+// Guards against two agents that believe to hold the same fence after a lost response or a race.
+BOOST_AUTO_TEST_CASE(each_start_raises_the_fence)
+{
+    FakeTable table;
+    const SystemClock clock;
+    UpstreamFence first(table, clock, "u", "agent-1", "t1");
+    UpstreamFence second(table, clock, "u", "agent-2", "t2");
+    table.faults.lostAnswers = 1;
+    BOOST_TEST(first.raise(Seconds(1)).value() == 1);
+    BOOST_TEST(second.raise(Seconds(1)).value() == 2);
+    BOOST_TEST(first.read() == 2);
+    table.faults.down = true;
+    BOOST_TEST(!first.raise(Seconds(1)).has_value());
 }
 
 // Guards against memory that a former agent left at the engine, and against releasing what this
--- a/include/lavenderpick/Upstream/PlanFollower.h
+++ b/include/lavenderpick/Upstream/PlanFollower.h
@@ -1,33 +1,24 @@
 #pragma once
 
+#include "lavenderpick/Base/Clock.h"
+#include "lavenderpick/Document/Entries.h"
+
 #include <cstdint>
-#include <nlohmann/json_fwd.hpp>
-#include <optional>
 #include <string>
-#include <string_view>
 
 namespace Lavenderpick {
 
-enum class PlanAction {
-    Serve,
-    Stop,
-    Move,
-};
-
-std::string_view toString(PlanAction action);
-
-/// An upstream's entry in the document's section `plans`.
-struct UpstreamPlan
+/// What an upstream becomes under a plan to move it.
+struct MoveTarget
 {
-    PlanAction action { PlanAction::Serve };
-    std::string to {};        ///< Move: who takes the upstream over.
-    std::int64_t by { 0 };    ///< End of the grace period, Unix seconds; 0: none.
-    std::int64_t epoch { 0 }; ///< Document version of the entry.
+    std::string model {}; ///< Set for `model:<name>`.
+    std::string role {};  ///< Set for `role:<name>`.
+    bool otherFirm { false };
 
-    bool operator==(const UpstreamPlan &) const = default;
+    bool operator==(const MoveTarget &) const = default;
 
-    /// Throws `Error` of kind InvalidMessage.
-    static UpstreamPlan parse(const nlohmann::json &json, std::int64_t epoch);
+    /// Anything else than a model or role counts as another firm, which gets the upstream empty.
+    static MoveTarget parse(const std::string &to);
 };
 
 /// Follows the plan of one upstream (O2, O3, O6). Performs no I/O and is not safe for concurrent
@@ -35,11 +26,15 @@
 class PlanFollower
 {
 public:
-    /// Returns whether the plan is in force; one with a lower epoch is ignored.
-    bool apply(const UpstreamPlan &plan);
+    /// Returns whether the plan is new and in force now; one whose epoch is not higher is ignored.
+    bool apply(const PlanEntry &plan, std::int64_t epoch, TimePoint now);
 
     /// The process was told to terminate: as a stop that no later plan reverts.
     void terminate() { m_terminating = true; }
+    bool isTerminating() const { return m_terminating; }
+
+    /// The engine has become what the plan moves it to; it serves again under the same plan.
+    void moveCompleted() { m_moved = m_plan.action == PlanAction::Move; }
 
     bool accepts() const;
 
@@ -48,12 +43,19 @@
 
     /// Whether the grace period of a stop or move has ended: streams that still run are to be
     /// resumed elsewhere.
-    bool graceEnded(std::int64_t wallSeconds) const;
+    bool graceEnded(TimePoint now) const;
+
+    /// Whether the upstream is being handed to another firm, whose work must not be touched.
+    bool leavesFirm() const;
 
-    const UpstreamPlan &plan() const { return m_plan; }
+    const PlanEntry &plan() const { return m_plan; }
+    std::int64_t epoch() const { return m_epoch; }
 
 private:
-    UpstreamPlan m_plan;
+    PlanEntry m_plan;
+    std::int64_t m_epoch { -1 };
+    TimePoint m_since {};
+    bool m_moved { false };
     bool m_terminating { false };
 };
 
--- a/include/lavenderpick/Upstream/UpstreamAdmission.h
+++ b/include/lavenderpick/Upstream/UpstreamAdmission.h
@@ -58,7 +58,8 @@
     void setModels(std::set<std::string> models) { m_models = std::move(models); }
     const std::set<std::string> &models() const { return m_models; }
 
-    /// While refusing, running and waiting attempts go on, new ones are refused.
+    /// While refusing, running and waiting attempts go on and new ones are refused. With Draining,
+    /// attempts of reservations that are held here still start.
     void setRefusing(std::optional<RefusalReason> reason) { m_refusing = reason; }
     std::optional<RefusalReason> refusing() const { return m_refusing; }
 
