--- a/Tests/Fakes/FakeFaults.h
+++ b/Tests/Fakes/FakeFaults.h
@@ -26,8 +26,8 @@
 
     void onWrite()
     {
-        if (beforeWrite)
-            beforeWrite();
+        if (const auto hook = beforeWrite) // A copy, since the hook may unset itself.
+            hook();
         ++writes;
         throwIfDown();
         throwIfLost(lostRequests);
--- a/include/lavenderpick/Document/DocumentStore.h
+++ b/include/lavenderpick/Document/DocumentStore.h
@@ -74,12 +74,6 @@
     void writeSnapshot(const Document &document);
 
 private:
-    enum class Attempt {
-        Applied,
-        LostRace,
-        Unavailable,
-    };
-
     struct Head
     {
         RowVersion rowVersion { 0 };
@@ -88,8 +82,7 @@
 
     Head readHead();
     std::optional<Document> readSnapshot(const std::string &name);
-    Attempt commit(const Head &head, const DocumentChange &change);
-    std::optional<Attempt> settle(const DocumentChange &change);
+    bool commit(const Head &head, const DocumentChange &change);
     void finishEdit(const Document &document);
     void pauseBeforeRetry(int attempt);
     void removeOldSnapshots();
