LibMembership: Merge the VM list with observed liveness

The platform's list lags, so an entry that trusts it sends work to VMs that are gone and avoids VMs that have returned. AgentSubset ranks agents by distance and rendezvous hash; the list does not say which models an agent serves, so unknown agents are watched as probes until they report.

--- /dev/null
+++ b/Libraries/LibMembership/AgentSubset.cpp
@@ -0,0 +1,130 @@
+#include "lavenderpick/Membership/AgentSubset.h"
+
+#include <algorithm>
+#include <array>
+#include <xxhash.h>
+
+namespace Lavenderpick {
+
+namespace {
+
+// What an agent reported while it was watched is not trusted for longer: it may have changed its
+// model since.
+constexpr Duration modelKnowledgeLifetime = Seconds(600);
+
+std::uint64_t rendezvousWeight(std::uint64_t seed, const std::string &upstream)
+{
+    return XXH3_64bits_withSeed(upstream.data(), upstream.size(), seed);
+}
+
+} // namespace
+
+struct AgentSubset::Ranked
+{
+    Distance distance;
+    std::uint64_t weight;
+    const Member *member;
+    bool serving;
+};
+
+AgentSubset::AgentSubset(std::string entry, std::string region, std::string availabilityZone,
+                         const AgentSubsetSettings &settings)
+    : m_entry(std::move(entry))
+    , m_region(std::move(region))
+    , m_availabilityZone(std::move(availabilityZone))
+    , m_settings(settings)
+{ }
+
+Distance AgentSubset::distanceTo(const Vm &vm) const
+{
+    if (vm.region != m_region)
+        return Distance::Far;
+    return vm.availabilityZone == m_availabilityZone ? Distance::SameZone : Distance::SameRegion;
+}
+
+std::vector<AgentSubset::Ranked> AgentSubset::rank(const MemberTable &table,
+                                                   const std::string &model, TimePoint now) const
+{
+    const std::string prefix = m_entry + '\0' + model;
+    const std::uint64_t seed = XXH3_64bits(prefix.data(), prefix.size());
+    std::vector<Ranked> ranked;
+    for (const auto &[name, member] : table.members()) {
+        if (member.vm.upstream.empty())
+            continue;
+        const Liveness liveness = table.liveness(member, now);
+        if (liveness == Liveness::Gone || liveness == Liveness::Leaving)
+            continue;
+        const bool known =
+                !member.models.empty() && now - member.lastHeard < modelKnowledgeLifetime;
+        const bool serving = known
+                && std::find(member.models.begin(), member.models.end(), model)
+                        != member.models.end();
+        if (known && !serving)
+            continue;
+        ranked.push_back({ distanceTo(member.vm), rendezvousWeight(seed, member.vm.upstream),
+                           &member, serving });
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const Ranked &left, const Ranked &right) {
+        return std::tie(left.distance, left.weight, left.member->vm.name)
+                < std::tie(right.distance, right.weight, right.member->vm.name);
+    });
+    return ranked;
+}
+
+std::vector<SubsetMember> AgentSubset::choose(const std::vector<Ranked> &ranked) const
+{
+    std::array<std::size_t, 3> available {};
+    for (const Ranked &agent : ranked)
+        ++available[static_cast<std::size_t>(agent.distance)];
+    std::array<std::size_t, 3> places { 0, std::min(m_settings.regionPlaces, available[1]),
+                                        std::min(m_settings.farPlaces, available[2]) };
+    std::size_t unassigned = m_settings.size - std::min(m_settings.size, places[1] + places[2]);
+    for (std::size_t distance = 0; distance < 3; ++distance) {
+        const std::size_t more = std::min(unassigned, available[distance] - places[distance]);
+        places[distance] += more;
+        unassigned -= more;
+    }
+
+    // Suspect agents stay in the subset, since only a watched agent can show that it is back.
+    std::vector<SubsetMember> chosen;
+    std::size_t probes = 0;
+    for (const Ranked &agent : ranked) {
+        std::size_t &left = places[static_cast<std::size_t>(agent.distance)];
+        if (left == 0 || (!agent.serving && probes >= m_settings.probes))
+            continue;
+        if (agent.serving)
+            --left;
+        else
+            ++probes;
+        chosen.push_back({ agent.member->vm.upstream, agent.distance, agent.serving });
+    }
+    return chosen;
+}
+
+void AgentSubset::update(MemberTable &table, const std::vector<std::string> &models, TimePoint now)
+{
+    m_members.clear();
+    std::set<std::string> watched;
+    for (const std::string &model : models) {
+        std::vector<SubsetMember> chosen = choose(rank(table, model, now));
+        for (const SubsetMember &member : chosen)
+            watched.insert(member.upstream);
+        m_members[model] = std::move(chosen);
+    }
+    for (const std::string &upstream : m_watched) {
+        if (!watched.contains(upstream))
+            table.setWatched(upstream, false, now);
+    }
+    for (const std::string &upstream : watched)
+        table.setWatched(upstream, true, now);
+    m_watched = std::move(watched);
+}
+
+const std::vector<SubsetMember> &AgentSubset::members(const std::string &model) const
+{
+    static const std::vector<SubsetMember> none;
+    const auto found = m_members.find(model);
+    return found == m_members.end() ? none : found->second;
+}
+
+} // namespace Lavenderpick
