LibRouting: Route by predicted time to first token

Lagged reports make every entry see the same idle engine. In the test with 100 entries, four requests each and one idle engine of 24, less than 100 of 400 requests go there, where the best of all would take all of them.

The rate curve is fitted per model on raw samples; dividing by the engine's factor first was ruled out, since new engines then start at the initial rates instead of the model's. LibRouting's tests pass.

--- /dev/null
+++ b/Libraries/LibRouting/Router.cpp
@@ -0,0 +1,198 @@
+#include "lavenderpick/Routing/Router.h"
+
+#include <algorithm>
+
+namespace Lavenderpick {
+
+namespace {
+
+bool mayUse(const RouteRequest &request, const Candidate &candidate)
+{
+    return candidate.usable && candidate.share > 0
+            && std::find(request.tried.begin(), request.tried.end(), candidate.upstream)
+            == request.tried.end();
+}
+
+// Moves `count` random elements to the front.
+void sampleFront(std::vector<std::size_t> &indices, std::size_t count, Random &random)
+{
+    count = std::min(count, indices.size());
+    for (std::size_t place = 0; place < count; ++place)
+        std::swap(indices[place], indices[place + random.below(indices.size() - place)]);
+    indices.resize(count);
+}
+
+} // namespace
+
+Router::Router(const RouterSettings &settings, const CostModel &costModel, const LoadView &loadView,
+               const PrefixIndex &prefixIndex)
+    : m_settings(settings)
+    , m_costModel(costModel)
+    , m_loadView(loadView)
+    , m_prefixIndex(prefixIndex)
+{ }
+
+std::optional<Router::Scored> Router::score(const RouteRequest &request, const Candidate &candidate,
+                                            std::int64_t cachedTokens, TimePoint now) const
+{
+    const UpstreamLoad load = m_loadView.load(candidate.upstream, now);
+    if (!load.accepting)
+        return std::nullopt;
+    Scored scored;
+    RouteDecision &decision = scored.decision;
+    decision.upstream = candidate.upstream;
+    decision.cachedTokens = cachedTokens;
+    decision.cost = m_costModel.predict(candidate.upstream, request.model, request.promptTokens,
+                                        cachedTokens, request.outputTokens);
+    const bool isShort = request.promptTokens - cachedTokens <= shortPromptTokens;
+    const double backlog = isShort ? load.shortWaitSeconds : load.totalWaitSeconds;
+    decision.waitSeconds = backlog + load.stepSeconds / 2; // New work joins at the next step.
+    decision.firstTokenSeconds = decision.waitSeconds + decision.cost.prefillSeconds
+            + m_settings.distanceSeconds[static_cast<std::size_t>(candidate.distance)];
+    scored.score = decision.firstTokenSeconds;
+    scored.capacity = load.kvCapacity;
+    const double reserve = (1 - m_settings.memoryShare) * static_cast<double>(load.kvCapacity);
+    scored.fits = static_cast<double>(decision.cost.kvTokens)
+            <= static_cast<double>(load.kvFree) - reserve;
+    return scored;
+}
+
+std::optional<Router::Scored> Router::bestOf(const RouteRequest &request,
+                                             std::span<const Candidate> candidates,
+                                             const Indices &indices, TimePoint now) const
+{
+    std::optional<Scored> best;
+    std::int64_t capacity = 0;
+    for (const std::size_t index : indices) {
+        std::optional<Scored> scored = score(request, candidates[index], 0, now);
+        if (!scored)
+            continue;
+        capacity = std::max(capacity, scored->capacity);
+        const auto key = [](const Scored &other) { return std::pair(!other.fits, other.score); };
+        if (!best || key(*scored) < key(*best))
+            best = std::move(scored);
+    }
+    if (best)
+        best->capacity = capacity;
+    return best;
+}
+
+std::optional<Router::Scored> Router::bestSampled(const RouteRequest &request,
+                                                  std::span<const Candidate> candidates,
+                                                  TimePoint now, Random &random) const
+{
+    std::array<Indices, 3> byDistance;
+    Indices all;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const Candidate &candidate = candidates[index];
+        if (!mayUse(request, candidate))
+            continue;
+        all.push_back(index);
+        if (candidate.share >= 1 || random.unit() < candidate.share)
+            byDistance[static_cast<std::size_t>(candidate.distance)].push_back(index);
+    }
+    std::optional<Scored> best;
+    for (std::size_t distance = 0; distance < byDistance.size(); ++distance) {
+        // A farther candidate pays off only if it saves more waiting than its distance costs.
+        if (best && best->fits
+            && best->decision.waitSeconds <= m_settings.distanceSeconds[distance])
+            break;
+        sampleFront(byDistance[distance], m_settings.samples, random);
+        std::optional<Scored> nearest = bestOf(request, candidates, byDistance[distance], now);
+        if (nearest
+            && (!best || (nearest->fits && !best->fits)
+                || (nearest->fits == best->fits && nearest->score < best->score)))
+            best = std::move(nearest);
+    }
+    if (best && best->fits)
+        return best;
+    return bestOf(request, candidates, all, now);
+}
+
+std::optional<Router::Scored> Router::bestHolder(const RouteRequest &request,
+                                                 std::span<const Candidate> candidates,
+                                                 TimePoint now) const
+{
+    std::optional<Scored> best;
+    for (const PrefixHolder &holder : m_prefixIndex.find(request.prefix, now)) {
+        const auto candidate = std::find_if(
+                candidates.begin(), candidates.end(),
+                [&holder](const Candidate &other) { return other.upstream == holder.upstream; });
+        if (candidate == candidates.end() || candidate->share < 1 || !mayUse(request, *candidate))
+            continue;
+        std::optional<Scored> scored = score(request, *candidate, holder.tokens, now);
+        if (scored && scored->fits && (!best || scored->score < best->score))
+            best = std::move(scored);
+    }
+    return best;
+}
+
+RouteDecision Router::choose(const RouteRequest &request, std::span<const Candidate> candidates,
+                             TimePoint now, Random &random)
+{
+    std::optional<Scored> best = bestSampled(request, candidates, now, random);
+    if (!best)
+        return {};
+    if (!best->fits) {
+        RouteDecision refused;
+        refused.refusal = RefusalReason::UpstreamMemory;
+        refused.cost = best->decision.cost;
+        refused.largestCapacity = best->capacity;
+        return refused;
+    }
+    if (m_settings.useAffinity && !request.prefix.empty()) {
+        std::optional<Scored> holder = bestHolder(request, candidates, now);
+        const double limit = best->decision.waitSeconds + m_settings.affinityLimitSeconds;
+        if (holder && holder->score < best->score && holder->decision.waitSeconds <= limit)
+            return holder->decision;
+    }
+    return best->decision;
+}
+
+std::vector<std::string> Router::chooseGroup(const RouteRequest &request,
+                                             std::span<const Candidate> candidates, TimePoint now,
+                                             std::size_t maximumEngines) const
+{
+    const std::int64_t needed = request.promptTokens + request.outputTokens;
+    for (int distance = 0; distance < 3; ++distance) {
+        std::vector<std::pair<std::int64_t, std::string>> engines;
+        for (const Candidate &candidate : candidates) {
+            const UpstreamLoad load = m_loadView.load(candidate.upstream, now);
+            const auto free = static_cast<std::int64_t>(static_cast<double>(load.kvFree)
+                                                        * m_settings.memoryShare);
+            if (candidate.distance <= distance && mayUse(request, candidate) && load.accepting
+                && free > 0)
+                engines.emplace_back(free, candidate.upstream);
+        }
+        std::sort(engines.begin(), engines.end(), std::greater<> {});
+        std::vector<std::string> group;
+        std::int64_t free = 0;
+        for (const auto &[tokens, upstream] : engines) {
+            if (free >= needed || group.size() == maximumEngines)
+                break;
+            free += tokens;
+            group.push_back(upstream);
+        }
+        std::sort(group.begin(), group.end());
+        if (free >= needed)
+            return group;
+    }
+    return {};
+}
+
+double fleetPressure(const LoadView &loadView, std::span<const Candidate> candidates,
+                     double referenceSeconds, TimePoint now)
+{
+    double backlog = 0;
+    int known = 0;
+    for (const Candidate &candidate : candidates) {
+        const UpstreamLoad load = loadView.load(candidate.upstream, now);
+        if (!candidate.usable || !load.accepting)
+            continue;
+        backlog += load.totalWaitSeconds;
+        ++known;
+    }
+    return known == 0 ? 0 : backlog / (known * referenceSeconds);
+}
+
+} // namespace Lavenderpick
--- a/include/lavenderpick/Routing/CostModel.h
+++ b/include/lavenderpick/Routing/CostModel.h
@@ -84,7 +84,7 @@
     EngineFactors &factors(const std::string &upstream, const std::string &model);
     EngineFactors findFactors(const std::string &upstream, const std::string &model) const;
     const EngineRates &modelRates(const std::string &model) const;
-    static void addSample(ModelFit &fit, double tokens, double pairs, double seconds);
+    void addSample(ModelFit &fit, double tokens, double pairs, double seconds) const;
 
     EngineRates m_initial;
     std::unordered_map<std::string, ModelFit> m_models;
--- a/include/lavenderpick/Routing/PrefixIndex.h
+++ b/include/lavenderpick/Routing/PrefixIndex.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -43,14 +44,14 @@
     explicit PrefixIndex(std::size_t maximumPrefixes = 65'536, Duration lifetime = Seconds(600));
 
     /// The longest known prefix per upstream, at most `holdersPerPrefix` upstreams.
-    std::vector<PrefixHolder> find(const std::vector<PrefixPoint> &points, TimePoint now) const;
+    std::vector<PrefixHolder> find(std::span<const PrefixPoint> points, TimePoint now) const;
 
     /// The upstream has read the prompt.
-    void recordPrompt(const std::vector<PrefixPoint> &points, const std::string &upstream,
+    void recordPrompt(std::span<const PrefixPoint> points, const std::string &upstream,
                       TimePoint now);
 
     /// The upstream found only `cachedTokens` of the prompt in its cache before it read it.
-    void recordCachedTokens(const std::vector<PrefixPoint> &points, const std::string &upstream,
+    void recordCachedTokens(std::span<const PrefixPoint> points, const std::string &upstream,
                             std::int64_t cachedTokens);
 
     /// A cache event; an unknown prefix is ignored.
--- a/include/lavenderpick/Routing/Router.h
+++ b/include/lavenderpick/Routing/Router.h
@@ -39,17 +39,20 @@
 private:
     struct Scored
     {
-        const Candidate *candidate { nullptr };
         RouteDecision decision;
         double score { 0 };
         bool fits { false };
+        std::int64_t capacity { 0 };
     };
+    using Indices = std::vector<std::size_t>;
 
-    Scored score(const RouteRequest &request, const Candidate &candidate, std::int64_t cachedTokens,
-                 TimePoint now) const;
-    std::vector<Scored> scoreSample(const RouteRequest &request,
-                                    std::span<const Candidate> candidates, TimePoint now,
-                                    Random &random) const;
+    std::optional<Scored> score(const RouteRequest &request, const Candidate &candidate,
+                                std::int64_t cachedTokens, TimePoint now) const;
+    std::optional<Scored> bestOf(const RouteRequest &request, std::span<const Candidate> candidates,
+                                 const Indices &indices, TimePoint now) const;
+    std::optional<Scored> bestSampled(const RouteRequest &request,
+                                      std::span<const Candidate> candidates, TimePoint now,
+                                      Random &random) const;
     std::optional<Scored> bestHolder(const RouteRequest &request,
                                      std::span<const Candidate> candidates, TimePoint now) const;
 
@@ -59,4 +62,9 @@
     const PrefixIndex &m_prefixIndex;
 };
 
+/// Mean prefill backlog of the usable candidates over `referenceSeconds`: 1 is as much work as the
+/// fleet should hold. Pass it to `Admission::setPressure` and `CustomerBudgets::adjustLending`.
+double fleetPressure(const LoadView &loadView, std::span<const Candidate> candidates,
+                     double referenceSeconds, TimePoint now);
+
 } // namespace Lavenderpick
