LibLimits: Share customer budgets by gossip and admit early

Usage is averaged over the entries in epochs of 10 s by pairwise exchanges that keep the sum. An entry's share of a budget is its own rate over the cluster's, both taken at the start of the same epoch: with the current own rate over the last epoch's sum, a customer that had just started exceeded four times its budget in the first 40 s (1,715 admitted where 1,600 was the bound of the test).

--- /dev/null
+++ b/Tests/LibLimits/TestQueueAndAdmission.cpp
@@ -0,0 +1,147 @@
+#include "lavenderpick/Limits/Admission.h"
+#include "lavenderpick/Limits/FairQueue.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace Lavenderpick;
+
+namespace {
+
+const TimePoint start { Seconds(1'000) };
+
+QueuedRequest request(std::uint64_t id, const std::string &customer, int rank = 0, double cost = 1)
+{
+    return { .id = id,
+             .customer = customer,
+             .rank = rank,
+             .cost = cost,
+             .deadline = start + Seconds(100) + Milliseconds(id),
+             .enqueued = start };
+}
+
+AdmissionRequest admission(int rank, double idle, double wait, double remaining)
+{
+    return { .customer = "c",
+             .rank = rank,
+             .rankCount = 3,
+             .chargedSeconds = 1,
+             .idleSeconds = idle,
+             .waitSeconds = wait,
+             .remainingSeconds = remaining };
+}
+
+} // namespace
+
+// Guards against a customer that delays the others by queueing many or large requests.
+BOOST_AUTO_TEST_CASE(queue_is_weighted_fair)
+{
+    FairQueue queue;
+    for (std::uint64_t id = 0; id < 100; ++id) {
+        QueuedRequest heavy = request(id, "heavy", 0, 4);
+        QueuedRequest light = request(1'000 + id, "light");
+        light.weight = 2;
+        queue.push(heavy);
+        queue.push(light);
+    }
+    std::map<std::string, double> cost;
+    for (int count = 0; count < 90; ++count) {
+        const auto next = queue.pop(start);
+        cost[next->customer] += next->cost;
+    }
+    BOOST_TEST(cost["light"] == 2 * cost["heavy"], boost::test_tools::tolerance(0.1));
+}
+
+// Guards against starvation of long work under a constant inflow of short work.
+BOOST_AUTO_TEST_CASE(aged_request_is_served_in_time)
+{
+    FairQueue queue;
+    queue.push(request(1, "c", 2, 100));
+    TimePoint now = start;
+    int turns = 0;
+    for (std::uint64_t id = 2; id < 1'000; ++id) {
+        QueuedRequest urgent = request(id, "c");
+        urgent.enqueued = now;
+        queue.push(urgent);
+        now += Milliseconds(100);
+        ++turns;
+        if (queue.pop(now)->id == 1)
+            break;
+    }
+    BOOST_TEST(turns >= 100);
+    BOOST_TEST(turns <= 104);
+}
+
+// Guards against a late deadline that goes before an early one of the same customer, and against
+// work for callers whose deadline has passed.
+BOOST_AUTO_TEST_CASE(earliest_deadline_goes_first)
+{
+    FairQueue queue;
+    for (const std::uint64_t id : { 3, 1, 2 })
+        queue.push(request(id, "c"));
+    BOOST_TEST(queue.expire(start + Seconds(100) + Milliseconds(1)).size() == 1u);
+    BOOST_TEST(queue.pop(start)->id == 2u);
+    BOOST_TEST(queue.remove(3));
+    BOOST_TEST(!queue.remove(3));
+    BOOST_TEST(!queue.pop(start).has_value());
+    BOOST_TEST(queue.queuedCost() == 0);
+}
+
+// Guards against an unbounded queue, and against shedding important work before other work.
+BOOST_AUTO_TEST_CASE(full_queue_sheds_the_lowest_priority)
+{
+    FairQueue queue({ .maximumRequests = 2 });
+    queue.push(request(1, "c", 2));
+    queue.push(request(2, "c", 1));
+    BOOST_TEST(queue.push(request(3, "c", 0))->id == 1u);
+    BOOST_TEST(queue.push(request(4, "c", 2))->id == 4u);
+    BOOST_TEST(queue.size() == 2u);
+}
+
+// Guards against admitting work that can't finish, and against a Retry-After where waiting can't
+// help.
+BOOST_AUTO_TEST_CASE(infeasible_deadline_is_refused_early)
+{
+    CustomerBudgets budgets;
+    Admission gate({}, budgets);
+    const AdmissionDecision hopeless = gate.admit(admission(0, 10, 0, 5), start);
+    BOOST_TEST((hopeless.refusal == RefusalReason::DeadlineTooShort));
+    BOOST_TEST(!hopeless.retryAfterSeconds.has_value());
+    const AdmissionDecision busy = gate.admit(admission(0, 10, 20, 25), start);
+    BOOST_TEST((busy.refusal == RefusalReason::DeadlineTooShort));
+    BOOST_TEST(busy.retryAfterSeconds.value() == 10);
+    BOOST_TEST(gate.admit(admission(0, 10, 20 - 10, 25), start).admitted());
+}
+
+// Guards against shedding in another order than the document's priorities.
+BOOST_AUTO_TEST_CASE(shedding_follows_the_priorities)
+{
+    CustomerBudgets budgets;
+    budgets.setLimit("c", { .costPerSecond = 1'000 });
+    Admission gate({}, budgets);
+    int refused = 0;
+    for (const double pressure : { 0.9, 1.2, 1.7, 2.5 }) {
+        gate.setPressure(pressure);
+        for (int rank = 0; rank < 3; ++rank) {
+            const AdmissionDecision decision = gate.admit(admission(rank, 1, 0, 100), start);
+            BOOST_TEST(decision.admitted() == (rank < 3 - refused));
+            BOOST_TEST(decision.retryAfterSeconds.has_value() == !decision.admitted());
+        }
+        ++refused;
+    }
+}
+
+// Guards against budget spent on requests that were refused for another reason.
+BOOST_AUTO_TEST_CASE(refused_request_costs_no_budget)
+{
+    CustomerBudgets budgets;
+    Admission gate({}, budgets);
+    for (int count = 0; count < 100; ++count)
+        gate.admit(admission(0, 10, 0, 5), start);
+    BOOST_TEST(gate.admit(admission(0, 1, 0, 5), start).admitted());
+    for (int count = 0; count < 10; ++count)
+        gate.admit(admission(0, 1, 0, 5), start);
+    const AdmissionDecision decision = gate.admit(admission(0, 1, 0, 5), start);
+    BOOST_TEST((decision.refusal == RefusalReason::CustomerBudget));
+    BOOST_TEST(decision.retryAfterSeconds.has_value());
+}
--- a/include/lavenderpick/Limits/CustomerBudgets.h
+++ b/include/lavenderpick/Limits/CustomerBudgets.h
@@ -24,6 +24,7 @@
     double rateSeconds { 10 };  ///< Averaging time of the offered load.
     double burstSeconds { 5 };  ///< Unused budget kept.
     double unknownShare { 4 };  ///< Share of an entry until usage is known, over 1/entries.
+    double hotShare { 0.5 };    ///< Of a budget, above which usage is gossiped.
     double floorShare { 0.25 }; ///< Least share of an entry, over 1/entries.
     double lendLow { 0.7 };     ///< Pressure below which more idle capacity is lent.
     double lendHigh { 0.9 };    ///< Pressure above which it is taken back.
@@ -38,7 +39,7 @@
 /// Each entry admits its part of a customer's budget, in proportion to the load offered to it. A
 /// bucket may go into debt by one request, so that a request larger than a second's budget is
 /// admitted and paid for afterwards.
-class CustomerBudgets
+class CustomerBudgets final : private UsageSource
 {
 public:
     explicit CustomerBudgets(const BudgetSettings &settings = {});
@@ -78,15 +79,16 @@
         double level { 0 };   ///< Of the bucket; negative is debt.
         double offered { 0 }; ///< Cost a second offered here, exponentially averaged.
         TimePoint updated {};
-        bool started { false };
     };
 
     Account &account(const std::string &customer, TimePoint now);
     const CustomerLimit &limit(const std::string &customer) const;
-    double localRate(const std::string &customer, const Account &account) const;
-    void advance(const std::string &customer, Account &account, TimePoint now);
-    void makeRoom(TimePoint now);
-    bool isHot(const std::string &customer, const Account &account) const;
+    double totalRate(const std::string &customer) const;
+    double localRate(const std::string &customer) const;
+    void advance(const std::string &customer, Account &account, TimePoint now) const;
+    void makeRoom();
+    std::map<std::string, double> hotCustomers(TimePoint now) override;
+    double offeredRate(const std::string &customer, TimePoint now) override;
 
     BudgetSettings m_settings;
     std::unordered_map<std::string, CustomerLimit> m_limits;
--- a/include/lavenderpick/Limits/FairQueue.h
+++ b/include/lavenderpick/Limits/FairQueue.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Lavenderpick {
@@ -44,7 +45,7 @@
     /// deadline leaves and is returned, which may be the new one.
     std::optional<QueuedRequest> push(const QueuedRequest &request);
 
-    /// The next request whose deadline has not passed; call `expire` for the others.
+    /// The next request. Call `expire` before, so that no request past its deadline comes out.
     std::optional<QueuedRequest> pop(TimePoint now);
 
     /// Removes and returns the requests whose deadline has passed.
@@ -65,8 +66,9 @@
     using FlowKey = std::pair<int, std::string>; ///< Rank and customer.
 
     QueuedRequest take(std::uint64_t id);
-    std::optional<std::uint64_t> agedRequest(TimePoint now);
+    std::optional<std::uint64_t> agedRequest(TimePoint now) const;
     std::uint64_t fairRequest() const;
+    void charge(const QueuedRequest &request);
 
     FairQueueSettings m_settings;
     std::map<std::uint64_t, QueuedRequest> m_requests;
--- a/include/lavenderpick/Limits/UsageGossip.h
+++ b/include/lavenderpick/Limits/UsageGossip.h
@@ -4,7 +4,6 @@
 #include "lavenderpick/Protocol/Datagrams.h"
 
 #include <cstddef>
-#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,6 +11,27 @@
 
 namespace Lavenderpick {
 
+/// What an entry's callers offer, in predicted cost a second.
+class UsageSource
+{
+public:
+    virtual ~UsageSource() = default;
+
+    /// Rates of the customers near their budget.
+    virtual std::map<std::string, double> hotCustomers(TimePoint now) = 0;
+
+    virtual double offeredRate(const std::string &customer, TimePoint now) = 0;
+};
+
+/// A customer's usage in the last complete epoch.
+struct CustomerUsage
+{
+    double mean { 0 }; ///< Per entry, over all entries.
+    double own { 0 };  ///< Here, when the epoch began, so that the shares of all entries add to 1.
+
+    bool operator==(const CustomerUsage &) const = default;
+};
+
 /// Averages customers' usage over all entries by pairwise gossip in epochs. Not safe for concurrent
 /// use.
 ///
@@ -22,39 +42,35 @@
 class UsageGossip
 {
 public:
-    /// Returns this entry's rates of the customers near their budget.
-    using LocalRates = std::function<std::map<std::string, double>()>;
-
     explicit UsageGossip(Duration epoch = Seconds(10), std::size_t maximumCustomers = 1'024);
 
     /// Starts the next epoch when it is time.
-    void advance(TimePoint now, const LocalRates &localRates);
+    void advance(UsageSource &source, TimePoint now);
 
     /// Fills a datagram with as many customers as fit, in rotation.
     void fill(Gossip &gossip);
 
     /// Merges a peer's datagram of the same epoch. `answer` is null for an answer, else it gets the
     /// values of before for the same customers.
-    void merge(const Gossip &received, Gossip *answer, TimePoint now, const LocalRates &localRates);
+    void merge(const Gossip &received, Gossip *answer, UsageSource &source, TimePoint now);
 
-    /// Mean rate per entry in the last complete epoch; nothing when the customer was not near its
-    /// budget anywhere.
-    std::optional<double> mean(const std::string &customer) const;
+    /// Nothing when the customer was not near its budget anywhere.
+    std::optional<CustomerUsage> usage(const std::string &customer) const;
 
     /// Bytes of customer names and rates in one datagram; the rest is left to the other fields.
     static constexpr std::size_t maximumUsageBytes = 900;
 
 private:
-    void start(std::int64_t epoch, TimePoint now, const LocalRates &localRates);
+    void start(std::int64_t epoch, UsageSource &source, TimePoint now);
 
     Duration m_epochDuration;
     std::size_t m_maximumCustomers;
     std::int64_t m_epoch { 0 };
     TimePoint m_epochStart {};
     int m_exchanges { 0 };
-    std::map<std::string, double> m_current;
-    std::map<std::string, double> m_sent; ///< Values in the question under way.
-    std::unordered_map<std::string, double> m_complete;
+    std::map<std::string, CustomerUsage> m_current; ///< `mean` converges to the mean.
+    std::map<std::string, double> m_sent;           ///< Values in the question under way.
+    std::unordered_map<std::string, CustomerUsage> m_complete;
     std::string m_rotation; ///< Last customer sent.
 };
 
