Platform: Add the HTTP client of the platform and its stand-ins

`HttpPlatform` keeps a write that can't have happened (no connection, 429, 503) apart from one whose outcome is unknown (everything else). After a failure it opens new connections for three seconds, the age limit of idle ones, since every other idle connection may be silent as well and would cost a timeout each. Keys and object names are percent-encoded except for slashes.

The stand-ins `platform` and `service` share their faults: down, slow, and lost answers, which break the connection after the effect. LibHttp is declared before LibPlatform, which now links it.

The tests of LibPlatform pass against the stand-in over loopback, among them a document edit whose answer is lost on the wire.

--- a/Tests/StandIns/main.cpp
+++ b/Tests/StandIns/main.cpp
@@ -1,4 +1,5 @@
 #include "EngineCommand.h"
+#include "ServerCommands.h"
 
 #include <array>
 #include <iostream>
@@ -14,6 +15,8 @@
 
 constexpr std::array standIns {
     StandIn { "engine", Lavenderpick::StandIns::runEngineCommand },
+    StandIn { "platform", Lavenderpick::StandIns::runPlatformCommand },
+    StandIn { "service", Lavenderpick::StandIns::runServiceCommand },
 };
 
 } // namespace
