--- a/Services/Entry/AdmissionControl.cpp
+++ b/Services/Entry/AdmissionControl.cpp
@@ -57,8 +57,8 @@
         if (before != m_customers.entries.end() && before->second.version == entry.version)
             continue;
         if (const auto customer = document->customer(name))
-            m_budgets.setLimit(name, { .costPerSecond = customer->budget,
-                                       .weight = customer->weight });
+            m_budgets.setLimit(name,
+                               { .costPerSecond = customer->budget, .weight = customer->weight });
     }
     for (const auto &[name, entry] : m_customers.entries) {
         if (!customers.entries.contains(name))
--- a/Services/Entry/AgentDirectory.cpp
+++ b/Services/Entry/AgentDirectory.cpp
@@ -183,10 +183,9 @@
                               secondsBetween(*attempt.firstTokenAt, now));
     // The true number of cached tokens is known only at the end.
     if (result.cachedTokens) {
-        m_costModel.observePrefill(attempt.upstream, attempt.model, attempt.promptTokens,
-                                   *result.cachedTokens,
-                                   secondsBetween(attempt.sentAt, *attempt.firstTokenAt),
-                                   attempt.waitSeconds);
+        m_costModel.observePrefill(
+                attempt.upstream, attempt.model, attempt.promptTokens, *result.cachedTokens,
+                secondsBetween(attempt.sentAt, *attempt.firstTokenAt), attempt.waitSeconds);
         m_prefixIndex.recordCachedTokens(attempt.prefix, attempt.upstream, *result.cachedTokens);
     }
     m_prefixIndex.recordPrompt(attempt.prefix, attempt.upstream, now);
--- a/Services/Entry/AnswerChannel.cpp
+++ b/Services/Entry/AnswerChannel.cpp
@@ -13,9 +13,8 @@
 bool AnswerChannel::onText(const std::string &text)
 {
     std::unique_lock lock(m_mutex);
-    const bool hasRoom = m_changed.wait_for(lock, longestStall, [this] {
-        return !m_open || m_text.size() < maximumPendingBytes;
-    });
+    const bool hasRoom = m_changed.wait_for(
+            lock, longestStall, [this] { return !m_open || m_text.size() < maximumPendingBytes; });
     m_open = m_open && hasRoom;
     if (!m_open)
         return false;
--- a/Services/Entry/CallerGuard.cpp
+++ b/Services/Entry/CallerGuard.cpp
@@ -113,8 +113,7 @@
                                    "<key>'." });
 }
 
-void CallerGuard::refuse(httplib::Response &response, Problem problem,
-                         const std::string &requestId)
+void CallerGuard::refuse(httplib::Response &response, Problem problem, const std::string &requestId)
 {
     problem.requestId = requestId;
     m_context.metrics.countRefusal(problem.reason);
@@ -129,9 +128,9 @@
 {
     if (request.customer.hasRole(role))
         return;
-    throw ProblemError({ .reason = RefusalReason::Forbidden,
-                         .detail = "This key lacks the role '" + role
-                                 + "'. Ask the operators to add it." });
+    throw ProblemError(
+            { .reason = RefusalReason::Forbidden,
+              .detail = "This key lacks the role '" + role + "'. Ask the operators to add it." });
 }
 
 Duration boundedDeadline(std::int64_t milliseconds, const EntryCaps &caps)
--- a/Services/Entry/CompletionApi.cpp
+++ b/Services/Entry/CompletionApi.cpp
@@ -27,16 +27,15 @@
 
 void CompletionApi::addRoutes(httplib::Server &routes, CallerGuard &guard)
 {
-    routes.Post("/v1/completions",
-                guard.wrap([this](CallerRequest &request) { answer(request); }));
+    routes.Post("/v1/completions", guard.wrap([this](CallerRequest &request) { answer(request); }));
 }
 
 void CompletionApi::answer(CallerRequest &request)
 {
     requireRole(request, "completions");
     const auto body = CompletionRequest::parse(parseJson(request.http.body, "body"));
-    AdmittedCompletion admitted = m_service.admit(body, request.requestId, request.customer.name,
-                                                  *request.document);
+    AdmittedCompletion admitted =
+            m_service.admit(body, request.requestId, request.customer.name, *request.document);
     if (body.stream)
         answerStream(request, std::move(admitted));
     else
--- a/Services/Entry/CompletionFormat.cpp
+++ b/Services/Entry/CompletionFormat.cpp
@@ -11,7 +11,8 @@
 // Text that is not valid UTF-8 must not end a stream with an exception.
 std::string eventOf(const nlohmann::json &json)
 {
-    return formatServerSentEvent(json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    return formatServerSentEvent(
+            json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 } // namespace
--- a/Services/Entry/CompletionRelay.cpp
+++ b/Services/Entry/CompletionRelay.cpp
@@ -15,6 +15,7 @@
 
 constexpr Seconds cancelTimeout { 1 };
 constexpr Milliseconds shortestWait { 50 };
+constexpr Milliseconds upstreamWait { 200 };
 constexpr int notFoundStatus = 404;
 
 // Bounds of the length classes by which the time to first token is reported.
@@ -58,6 +59,13 @@
     }
 }
 
+Problem noUpstream(RefusalReason reason)
+{
+    return { .reason = reason,
+             .detail = "No upstream of this model can take the request now. Try again later.",
+             .retryAfterSeconds = 1 };
+}
+
 } // namespace
 
 struct CompletionRelay::Run
@@ -110,32 +118,45 @@
 { }
 
 CompletionOutcome CompletionRelay::run(const CompletionOrder &order, CompletionReceiver &receiver,
-                                       const PinnedUpstream *pinned)
+                                       const SelectedUpstream &first)
 {
     Run run { .order = order,
               .receiver = receiver,
-              .pinned = pinned,
               .stream = CompletionStream(m_settings.limits, order.resumeText, order.resumeOffset),
-              .started = m_clock.now() };
+              .started = m_clock.now(),
+              .next = first };
+    return runToEnd(run);
+}
+
+CompletionOutcome CompletionRelay::runPinned(const CompletionOrder &order,
+                                             CompletionReceiver &receiver,
+                                             const PinnedUpstream &pinned)
+{
+    Run run { .order = order,
+              .receiver = receiver,
+              .stream = CompletionStream(m_settings.limits, order.resumeText, order.resumeOffset),
+              .started = m_clock.now(),
+              .pinned = &pinned };
+    return runToEnd(run);
+}
+
+CompletionOutcome CompletionRelay::runToEnd(Run &run)
+{
     while (true) {
         if (auto problem = stopReason(run))
             return fail(run, *problem);
         run.target = nextTarget(run);
-        StreamStep step = StreamStep::NewAttempt;
-        if (run.target) {
-            step = runAttempt(run, run.target);
-        } else {
-            run.problem = Problem { .reason = run.target.decision.refusal,
-                                    .detail = "No upstream of this model can take the request now. "
-                                              "Try again later.",
-                                    .retryAfterSeconds = 1 };
+        if (!run.target) {
             // A response that has begun waits for an upstream; a new request is refused at once.
             if (!run.mayHaveRun)
-                return fail(run, *run.problem);
+                return fail(run, noUpstream(run.target.decision.refusal));
+            std::this_thread::sleep_for(upstreamWait);
+            continue;
         }
+        const StreamStep step = runAttempt(run, run.target);
         if (step == StreamStep::Finish)
             return finish(run);
-        if (run.target && !run.refused)
+        if (!run.refused)
             cancelAttempt(run);
         if (step == StreamStep::Fail || !prepareRetry(run))
             return fail(run,
@@ -174,9 +195,13 @@
     }
     const bool complete = step == StreamStep::Finish;
     const bool stopped = run.receiverLeft || run.problem.has_value();
-    m_selector.onFinished(run.stream.attemptId(), !complete && !run.refused && !stopped,
-                          complete ? std::optional(run.stream.usage().cachedTokens) : std::nullopt,
-                          run.stream.nextOffset());
+    AttemptResult result {
+        .failed = !complete && !run.refused && !stopped,
+        .outputTokens = run.stream.nextOffset() - firstOffset,
+    };
+    if (complete)
+        result.cachedTokens = run.stream.usage().cachedTokens;
+    m_selector.onFinished(run.stream.attemptId(), result);
     run.tried.push_back(target.upstream());
     return step;
 }
--- a/Services/Entry/CompletionRequest.h
+++ b/Services/Entry/CompletionRequest.h
@@ -18,7 +18,7 @@
     std::string prompt;
     std::int64_t maximumTokens { 256 };
     bool stream { false };
-    std::string priority {};                              ///< Empty: the document's first.
+    std::string priority {};                             ///< Empty: the document's first.
     std::optional<std::int64_t> deadlineMilliseconds {}; ///< Remaining time.
 
     bool operator==(const CompletionRequest &) const = default;
--- a/Services/Entry/CompletionService.cpp
+++ b/Services/Entry/CompletionService.cpp
@@ -21,6 +21,7 @@
         .order = makeOrder(request, m_estimator.estimate(request.model, request.prompt.size()),
                            requestId, customer, document, m_context.settings.caps,
                            m_context.clock.now()),
+        .selection = {},
     };
     const CompletionOrder &order = admitted.order;
     admitted.selection = m_directory.select({
--- a/Services/Entry/CompletionService.h
+++ b/Services/Entry/CompletionService.h
@@ -17,13 +17,14 @@
     SelectedUpstream selection; ///< As predicted on admission.
 };
 
-/// Takes completions from admission to their end, on one engine or several. Safe for concurrent use.
+/// Takes completions from admission to their end, on one engine or several. Safe for concurrent
+/// use.
 class CompletionService
 {
 public:
     CompletionService(const EntryContext &context, AgentDirectory &directory,
-                      AdmissionControl &admission, WaitingRoom &waitingRoom,
-                      CompletionRelay &relay, LongPromptRunner &longPrompts);
+                      AdmissionControl &admission, WaitingRoom &waitingRoom, CompletionRelay &relay,
+                      LongPromptRunner &longPrompts);
 
     /// R1 and R2. Throws `ProblemError` when the request is refused; it did not run then.
     AdmittedCompletion admit(const CompletionRequest &request, const std::string &requestId,
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -72,8 +72,7 @@
         .openRequests = map.integer("open_requests", { 1, 10'000 }, defaults.openRequests),
         .waitingConnections =
                 map.integer("waiting_connections", { 0, 10'000 }, defaults.waitingConnections),
-        .waitingRequests =
-                map.integer("waiting_requests", { 1, 10'000 }, defaults.waitingRequests),
+        .waitingRequests = map.integer("waiting_requests", { 1, 10'000 }, defaults.waitingRequests),
         .bodyBytes = map.bytes("body", { 1024, 64 * 1024 * 1024 }, defaults.bodyBytes),
         .jobs = map.integer("jobs", { 1, 1'000 }, defaults.jobs),
         .defaultDeadline = map.duration("default_deadline", { Milliseconds(100), Seconds(86'400) },
--- a/Services/Entry/LongPromptPlan.cpp
+++ b/Services/Entry/LongPromptPlan.cpp
@@ -43,8 +43,8 @@
     double total = 0;
     for (std::size_t index = 0; index < m_members.size(); ++index) {
         const bool decodes = index + 1 == m_members.size();
-        const auto free = static_cast<double>(
-                std::max<std::int64_t>(m_members[index].freeTokens - (decodes ? outputTokens : 0), 1));
+        const auto free = static_cast<double>(std::max<std::int64_t>(
+                m_members[index].freeTokens - (decodes ? outputTokens : 0), 1));
         shares.push_back(free);
         total += free;
     }
@@ -59,9 +59,9 @@
         const double part = static_cast<double>(end - start)
                 / static_cast<double>(std::max<std::size_t>(prompt.size(), 1));
         const double tokens = std::ceil(static_cast<double>(promptTokens) * part * reserveMargin);
-        m_segments.push_back({ .text = prompt.substr(start, end - start),
-                               .tokens = static_cast<std::int64_t>(tokens)
-                                       + (decodes ? outputTokens : 0) });
+        m_segments.push_back(
+                { .text = prompt.substr(start, end - start),
+                  .tokens = static_cast<std::int64_t>(tokens) + (decodes ? outputTokens : 0) });
         start = end;
     }
 }
--- a/Services/Entry/LongPromptPlan.h
+++ b/Services/Entry/LongPromptPlan.h
@@ -28,8 +28,8 @@
 
 /// The order of steps for one prompt over several engines (P1 to P5). Performs no I/O.
 ///
-/// Reservations are made in ascending upstream name and given up together, so that two prompts can't
-/// hold parts of what the other needs forever.
+/// Reservations are made in ascending upstream name and given up together, so that two prompts
+/// can't hold parts of what the other needs forever.
 class LongPromptPlan
 {
 public:
@@ -37,7 +37,8 @@
         Reserve, ///< Reserve `segment()` at `member()`, then `onReserved` or `onRefused`.
         Prefill, ///< Prefill `segment()` at `member()`, then `onPrefilled` or `onFailed`.
         Decode,  ///< Run the attempt with `segment()` at `member()`, then `onDecoded`.
-        Release, ///< Release the reservations at the first `reservedCount()` members; the plan ends.
+        Release, ///< Release the reservations at the first `reservedCount()` members; the plan
+                 ///< ends.
     };
 
     /// `prompt` must outlive the plan. The members are sorted by name; the last one decodes and
--- a/Services/Entry/LongPromptRunner.cpp
+++ b/Services/Entry/LongPromptRunner.cpp
@@ -75,15 +75,13 @@
         m_context.metrics.countRetry(RetryReason::ReservationConflict);
         std::this_thread::sleep_for(*delay);
     }
-    return failure(order,
-                   { .reason = RefusalReason::Cancelled, .detail = "The caller has left." });
+    return failure(order, { .reason = RefusalReason::Cancelled, .detail = "The caller has left." });
 }
 
 CompletionOutcome LongPromptRunner::runPlan(const CompletionOrder &order,
                                             CompletionReceiver &receiver, LongPromptPlan &plan)
 {
-    ReservationKeeper keeper(m_peers, m_owner,
-                             newIdentifier(m_context.random, "reservation"));
+    ReservationKeeper keeper(m_peers, m_owner, newIdentifier(m_context.random, "reservation"));
     CompletionOutcome outcome = failure(order, noMemory());
     while (plan.step() != LongPromptPlan::Step::Release) {
         const Duration remaining = order.deadline - m_context.clock.now();
@@ -156,9 +154,8 @@
 Duration LongPromptRunner::prefillLimit(const CompletionOrder &order,
                                         const LongPromptPlan &plan) const
 {
-    const double predicted =
-            m_directory.predictPrefill(plan.member().upstream, order.model, plan.segment().tokens,
-                                       plan.contextTokens());
+    const double predicted = m_directory.predictPrefill(
+            plan.member().upstream, order.model, plan.segment().tokens, plan.contextTokens());
     const auto limit = std::chrono::duration_cast<Duration>(
             std::chrono::duration<double>(predicted * prefillTimeFactor));
     return std::min<Duration>(limit + prefillTimeReserve, order.deadline - m_context.clock.now());
--- a/Services/Entry/ReservationKeeper.cpp
+++ b/Services/Entry/ReservationKeeper.cpp
@@ -64,8 +64,7 @@
                                                      .timeout = timeout });
         return response.status == 200;
     } catch (const Error &error) {
-        log(LogLevel::Info, "reservation", error.what(),
-            { { "reservation_id", m_reservationId } });
+        log(LogLevel::Info, "reservation", error.what(), { { "reservation_id", m_reservationId } });
         return false;
     }
 }
@@ -73,12 +72,12 @@
 void ReservationKeeper::release(const Held &held)
 {
     try {
-        m_peers.send(held.address, { .method = "DELETE",
-                                     .path = "/internal/reservations/" + m_reservationId,
-                                     .timeout = messageTimeout });
+        m_peers.send(held.address,
+                     { .method = "DELETE",
+                       .path = "/internal/reservations/" + m_reservationId,
+                       .timeout = messageTimeout });
     } catch (const Error &error) {
-        log(LogLevel::Info, "reservation", error.what(),
-            { { "reservation_id", m_reservationId } });
+        log(LogLevel::Info, "reservation", error.what(), { { "reservation_id", m_reservationId } });
     }
 }
 
--- a/Services/Entry/WaitingRoom.cpp
+++ b/Services/Entry/WaitingRoom.cpp
@@ -22,7 +22,8 @@
 WaitingRoom::WaitingRoom(const EntryContext &context, AgentDirectory &directory)
     : m_context(context)
     , m_directory(directory)
-    , m_queue({ .maximumRequests = static_cast<std::size_t>(context.settings.caps.waitingRequests) })
+    , m_queue({ .maximumRequests =
+                        static_cast<std::size_t>(context.settings.caps.waitingRequests) })
 { }
 
 SelectedUpstream WaitingRoom::wait(const CompletionOrder &order, double cost,
@@ -43,7 +44,8 @@
         if (selected)
             return selected;
         if (selected.decision.refusal != RefusalReason::UpstreamMemory)
-            refuse(selected.decision.refusal, "No upstream of this model is left. Try again later.");
+            refuse(selected.decision.refusal,
+                   "No upstream of this model is left. Try again later.");
     }
 }
 
