--- a/Libraries/LibDocument/Entries.cpp
+++ b/Libraries/LibDocument/Entries.cpp
@@ -188,11 +188,6 @@
     return parseEntry<ModelEntry>(name, json);
 }
 
-std::string_view toString(Objective objective)
-{
-    return objective == Objective::ShortSlowdown ? "short_slowdown" : "first_token_by_length";
-}
-
 PriorityEntry PriorityEntry::read(const std::string &name, EntryReader &reader)
 {
     const std::string shortSlowdown(toString(Objective::ShortSlowdown));
--- a/Services/Entry/StreamedCompletion.cpp
+++ b/Services/Entry/StreamedCompletion.cpp
@@ -41,8 +41,8 @@
 
 bool StreamedCompletion::writeNext(httplib::DataSink &sink)
 {
-    AnswerChannel::Progress progress = std::move(m_first);
-    m_first = {};
+    AnswerChannel::Progress progress;
+    std::swap(progress, m_first);
     if (progress.isEmpty())
         progress = m_channel.take(heartbeatPeriod);
     if (progress.isEmpty())
