--- a/Libraries/LibLimits/Admission.cpp
+++ b/Libraries/LibLimits/Admission.cpp
@@ -10,7 +10,7 @@
     , m_budgets(budgets)
 { }
 
-AdmissionDecision Admission::admit(const AdmissionRequest &request, TimePoint now)
+CallerAdmissionDecision Admission::admit(const CallerAdmissionRequest &request, TimePoint now)
 {
     if (const auto refused = checkDeadline(request))
         return *refused;
@@ -24,26 +24,30 @@
              retryAfter(std::chrono::duration<double>(*wait).count()) };
 }
 
-std::optional<AdmissionDecision> Admission::checkDeadline(const AdmissionRequest &request) const
+std::optional<CallerAdmissionDecision>
+Admission::checkDeadline(const CallerAdmissionRequest &request) const
 {
     const double possible = request.remainingSeconds / m_settings.deadlineMargin;
     if (request.idleSeconds > possible)
-        return AdmissionDecision { RefusalReason::DeadlineTooShort }; // Waiting does not help.
+        return CallerAdmissionDecision {
+            RefusalReason::DeadlineTooShort
+        }; // Waiting does not help.
     const double excess = request.idleSeconds + request.waitSeconds - possible;
     if (excess <= 0)
         return std::nullopt;
-    return AdmissionDecision { RefusalReason::DeadlineTooShort, retryAfter(excess) };
+    return CallerAdmissionDecision { RefusalReason::DeadlineTooShort, retryAfter(excess) };
 }
 
-std::optional<AdmissionDecision> Admission::checkPressure(const AdmissionRequest &request) const
+std::optional<CallerAdmissionDecision>
+Admission::checkPressure(const CallerAdmissionRequest &request) const
 {
     const int last = std::max(1, request.rankCount - 1);
     const double importance = 1 - static_cast<double>(std::clamp(request.rank, 0, last)) / last;
     const double excess = m_pressure - (m_settings.shedPressure + m_settings.shedSpan * importance);
     if (excess <= 0)
         return std::nullopt;
-    return AdmissionDecision { RefusalReason::QueueFull,
-                               retryAfter(excess * m_settings.recoverySeconds) };
+    return CallerAdmissionDecision { RefusalReason::QueueFull,
+                                     retryAfter(excess * m_settings.recoverySeconds) };
 }
 
 int Admission::retryAfter(double seconds) const
--- a/Services/Entry/AdmissionControl.cpp
+++ b/Services/Entry/AdmissionControl.cpp
@@ -27,8 +27,8 @@
 
 void AdmissionControl::admit(const CompletionOrder &order, const RouteDecision &prediction)
 {
-    const AdmissionRequest request = requestFor(order, prediction);
-    AdmissionDecision decision;
+    const CallerAdmissionRequest request = requestFor(order, prediction);
+    CallerAdmissionDecision decision;
     {
         const std::lock_guard lock(m_mutex);
         decision = m_admission.admit(request, m_context.clock.now());
@@ -88,8 +88,8 @@
     m_budgets.mergeGossip(received, answer, m_context.clock.now());
 }
 
-AdmissionRequest AdmissionControl::requestFor(const CompletionOrder &order,
-                                              const RouteDecision &prediction) const
+CallerAdmissionRequest AdmissionControl::requestFor(const CompletionOrder &order,
+                                                    const RouteDecision &prediction) const
 {
     // Admission wants 0 for the priority that is shed last; the document numbers them the other way
     // round and may leave gaps.
--- a/Services/Entry/AdmissionControl.h
+++ b/Services/Entry/AdmissionControl.h
@@ -31,8 +31,8 @@
     void mergeGossip(const Gossip &received, Gossip *answer);
 
 private:
-    AdmissionRequest requestFor(const CompletionOrder &order,
-                                const RouteDecision &prediction) const;
+    CallerAdmissionRequest requestFor(const CompletionOrder &order,
+                                      const RouteDecision &prediction) const;
 
     EntryContext m_context;
     std::mutex m_mutex;
--- a/Tests/LibLimits/TestQueueAndAdmission.cpp
+++ b/Tests/LibLimits/TestQueueAndAdmission.cpp
@@ -20,7 +20,7 @@
              .enqueued = start };
 }
 
-AdmissionRequest admission(int rank, double idle, double wait, double remaining)
+CallerAdmissionRequest admission(int rank, double idle, double wait, double remaining)
 {
     return { .customer = "c",
              .rank = rank,
@@ -104,10 +104,10 @@
 {
     CustomerBudgets budgets;
     Admission gate({}, budgets);
-    const AdmissionDecision hopeless = gate.admit(admission(0, 10, 0, 5), start);
+    const CallerAdmissionDecision hopeless = gate.admit(admission(0, 10, 0, 5), start);
     BOOST_TEST((hopeless.refusal == RefusalReason::DeadlineTooShort));
     BOOST_TEST(!hopeless.retryAfterSeconds.has_value());
-    const AdmissionDecision busy = gate.admit(admission(0, 10, 20, 25), start);
+    const CallerAdmissionDecision busy = gate.admit(admission(0, 10, 20, 25), start);
     BOOST_TEST((busy.refusal == RefusalReason::DeadlineTooShort));
     BOOST_TEST(busy.retryAfterSeconds.value() == 10);
     BOOST_TEST(gate.admit(admission(0, 10, 20 - 10, 25), start).admitted());
@@ -123,7 +123,7 @@
     for (const double pressure : { 0.9, 1.2, 1.7, 2.5 }) {
         gate.setPressure(pressure);
         for (int rank = 0; rank < 3; ++rank) {
-            const AdmissionDecision decision = gate.admit(admission(rank, 1, 0, 100), start);
+            const CallerAdmissionDecision decision = gate.admit(admission(rank, 1, 0, 100), start);
             BOOST_TEST(decision.admitted() == (rank < 3 - refused));
             BOOST_TEST(decision.retryAfterSeconds.has_value() == !decision.admitted());
         }
@@ -141,7 +141,7 @@
     BOOST_TEST(gate.admit(admission(0, 1, 0, 5), start).admitted());
     for (int count = 0; count < 10; ++count)
         gate.admit(admission(0, 1, 0, 5), start);
-    const AdmissionDecision decision = gate.admit(admission(0, 1, 0, 5), start);
+    const CallerAdmissionDecision decision = gate.admit(admission(0, 1, 0, 5), start);
     BOOST_TEST((decision.refusal == RefusalReason::CustomerBudget));
     BOOST_TEST(decision.retryAfterSeconds.has_value());
 }
--- a/include/lavenderpick/Limits/Admission.h
+++ b/include/lavenderpick/Limits/Admission.h
@@ -9,7 +9,7 @@
 
 namespace Lavenderpick {
 
-struct AdmissionRequest
+struct CallerAdmissionRequest
 {
     std::string customer;
     int rank { 0 };                ///< Position of the priority in the document: 0 is shed last.
@@ -20,13 +20,13 @@
     double remainingSeconds { 0 }; ///< Until the deadline.
 };
 
-struct AdmissionDecision
+struct CallerAdmissionDecision
 {
     std::optional<RefusalReason> refusal {};
     std::optional<int> retryAfterSeconds {}; ///< Set where waiting helps.
 
     bool admitted() const { return !refusal; }
-    bool operator==(const AdmissionDecision &) const = default;
+    bool operator==(const CallerAdmissionDecision &) const = default;
 };
 
 struct AdmissionSettings
@@ -51,11 +51,13 @@
 
     /// Charges the customer's budget when it admits. The order is deadline, shedding, budget, so
     /// that a request which is refused anyway costs no budget.
-    AdmissionDecision admit(const AdmissionRequest &request, TimePoint now);
+    CallerAdmissionDecision admit(const CallerAdmissionRequest &request, TimePoint now);
 
 private:
-    std::optional<AdmissionDecision> checkDeadline(const AdmissionRequest &request) const;
-    std::optional<AdmissionDecision> checkPressure(const AdmissionRequest &request) const;
+    std::optional<CallerAdmissionDecision>
+    checkDeadline(const CallerAdmissionRequest &request) const;
+    std::optional<CallerAdmissionDecision>
+    checkPressure(const CallerAdmissionRequest &request) const;
     int retryAfter(double seconds) const;
 
     AdmissionSettings m_settings;
