--- a/Libraries/LibUpstream/OrderController.cpp
+++ b/Libraries/LibUpstream/OrderController.cpp
@@ -35,15 +35,9 @@
 {
     if (m_fence == 0 || m_superseded || !m_hasDesired)
         return {};
-    std::vector<EngineOrder> differences;
-    addDifferences(m_desired.models, observed.models, "model", differences);
-    addDifferences(m_desired.adapters, observed.adapters, "adapter", differences);
-    if (!m_desired.role.empty() && m_desired.role != observed.role)
-        differences.push_back(makeOrder("role", m_desired.role, ""));
-
     std::map<std::string, TimePoint> sentAt;
     std::vector<EngineOrder> due;
-    for (const EngineOrder &order : differences) {
+    for (const EngineOrder &order : differences(observed)) {
         const auto sent = m_sentAt.find(orderKey(order));
         const bool waiting = sent != m_sentAt.end() && now - sent->second < repeatAfter;
         sentAt[orderKey(order)] = waiting ? sent->second : now;
@@ -55,11 +49,26 @@
     return due;
 }
 
+bool OrderController::isReached(const EngineState &observed) const
+{
+    return m_hasDesired && differences(observed).empty();
+}
+
 void OrderController::orderFailed(const EngineOrder &order)
 {
     m_sentAt.erase(orderKey(order));
 }
 
+std::vector<EngineOrder> OrderController::differences(const EngineState &observed) const
+{
+    std::vector<EngineOrder> orders;
+    addDifferences(m_desired.models, observed.models, "model", orders);
+    addDifferences(m_desired.adapters, observed.adapters, "adapter", orders);
+    if (!m_desired.role.empty() && m_desired.role != observed.role)
+        orders.push_back(makeOrder("role", m_desired.role, ""));
+    return orders;
+}
+
 EngineOrder OrderController::makeOrder(const std::string &kind, const std::string &name,
                                        const std::string &version) const
 {
--- a/Libraries/LibUpstream/UpstreamAdmission.cpp
+++ b/Libraries/LibUpstream/UpstreamAdmission.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// Weight of one observation in the running mean of the prefill speed.
-constexpr double observationWeight = 0.2;
+// The time of a shorter prefill is mostly that of a step, which says nothing of the speed.
+constexpr std::int64_t minimumObservedTokens = 1'000;
 
 double seconds(Duration duration)
 {
@@ -36,12 +36,10 @@
 
 void UpstreamAdmission::observePrefill(std::int64_t tokens, Duration duration)
 {
-    if (tokens <= 0 || duration <= Duration::zero())
+    if (tokens < minimumObservedTokens || duration <= Duration::zero())
         return;
-    const double speed = static_cast<double>(tokens) / seconds(duration);
-    m_prefillTokensPerSecond = m_prefillTokensPerSecond == 0
-            ? speed
-            : m_prefillTokensPerSecond + observationWeight * (speed - m_prefillTokensPerSecond);
+    m_prefillTokensPerSecond =
+            std::max(m_prefillTokensPerSecond, static_cast<double>(tokens) / seconds(duration));
 }
 
 UpstreamAdmission::Result UpstreamAdmission::request(const AdmissionRequest &request, TimePoint now)
--- a/Tests/LibUpstream/TestEngineControl.cpp
+++ b/Tests/LibUpstream/TestEngineControl.cpp
@@ -22,7 +22,7 @@
 {
     PlanFollower follower;
     BOOST_TEST(follower.accepts());
-    const PlanEntry stop { .action = PlanAction::Stop, .grace = Seconds(50) };
+    const PlanEntry stop { .upstream = "u", .action = PlanAction::Stop, .grace = Seconds(50) };
     BOOST_TEST(follower.apply(stop, 7, start));
     BOOST_TEST(!follower.accepts());
     BOOST_TEST(!follower.apply({}, 6, start));
@@ -42,13 +42,13 @@
 BOOST_AUTO_TEST_CASE(moved_upstream_serves_again)
 {
     PlanFollower follower;
-    follower.apply({ .action = PlanAction::Move, .to = "model:b" }, 3, start);
+    follower.apply({ .upstream = "u", .action = PlanAction::Move, .to = "model:b" }, 3, start);
     BOOST_TEST(!follower.accepts());
     BOOST_TEST(!follower.leavesFirm());
     follower.moveCompleted();
     BOOST_TEST(follower.accepts());
     BOOST_TEST(!follower.graceEnded(start + Seconds(9'999)));
-    follower.apply({ .action = PlanAction::Move, .to = "firm:sister" }, 4, start);
+    follower.apply({ .upstream = "u", .action = PlanAction::Move, .to = "firm:sister" }, 4, start);
     BOOST_TEST(!follower.accepts());
     BOOST_TEST(follower.leavesFirm());
 }
--- a/include/lavenderpick/Upstream/OrderController.h
+++ b/include/lavenderpick/Upstream/OrderController.h
@@ -49,6 +49,9 @@
     /// within `repeatAfter`, because loading takes time.
     std::vector<EngineOrder> ordersFor(const EngineState &observed, TimePoint now);
 
+    /// Whether the observed state is the desired one.
+    bool isReached(const EngineState &observed) const;
+
     /// Ends the wait before an order is repeated, when it was not delivered.
     void orderFailed(const EngineOrder &order);
 
@@ -57,6 +60,7 @@
     static constexpr Duration repeatAfter = Seconds(30);
 
 private:
+    std::vector<EngineOrder> differences(const EngineState &observed) const;
     EngineOrder makeOrder(const std::string &kind, const std::string &name,
                           const std::string &version) const;
     void addDifferences(const std::map<std::string, std::string> &desired,
--- a/include/lavenderpick/Upstream/UpstreamAdmission.h
+++ b/include/lavenderpick/Upstream/UpstreamAdmission.h
@@ -63,7 +63,8 @@
     void setRefusing(std::optional<RefusalReason> reason) { m_refusing = reason; }
     std::optional<RefusalReason> refusing() const { return m_refusing; }
 
-    /// Prefill speed that the engine showed; 0 tokens or time is ignored.
+    /// Prefill speed that the engine showed. The highest counts: a mean would follow a busy time
+    /// and then refuse all long work, after which nothing would correct it.
     void observePrefill(std::int64_t tokens, Duration duration);
 
     struct Result
