Http: Count threads that can still be started before refusing

Cause: TestLibHttp hung in connections_over_the_caps_are_refused_at_once. The task queue compared the waiting connections with idle threads only, so with no thread started yet and a waiting cap of 0 every connection was refused. Ruled out: a slow refusal thread (it answered) and the client's pool (each client of the test is new). Change: free threads are the cap less the busy ones; each condition has its own condition variable; problems set their content type once.

--- a/Libraries/LibHttp/BoundedTaskQueue.cpp
+++ b/Libraries/LibHttp/BoundedTaskQueue.cpp
@@ -12,9 +12,8 @@
 BoundedTaskQueue::BoundedTaskQueue(std::size_t maximumThreads, std::size_t maximumWaiting)
     : m_maximumThreads(maximumThreads)
     , m_maximumWaiting(maximumWaiting)
-{
-    m_threads.emplace_back([this] { runTasks(m_refused, true); });
-}
+    , m_refusingThread([this] { runRefused(); })
+{ }
 
 BoundedTaskQueue::~BoundedTaskQueue()
 {
@@ -24,31 +23,37 @@
 void BoundedTaskQueue::enqueue(std::function<void()> task)
 {
     std::unique_lock lock(m_mutex);
-    if (m_waiting.size() >= m_maximumWaiting + m_idleThreads) {
-        m_changed.wait(lock, [this] { return m_refused.size() < maximumRefused || m_stopping; });
+    // Threads that are not started yet count as free, so that a small queue doesn't refuse too
+    // early.
+    const std::size_t freeThreads = m_maximumThreads - m_busyThreads;
+    if (m_waiting.size() >= m_maximumWaiting + freeThreads) {
+        m_refusedChanged.wait(lock,
+                              [this] { return m_refused.size() < maximumRefused || m_stopping; });
         m_refused.push_back(std::move(task));
-        m_changed.notify_all();
+        m_refusedChanged.notify_all();
         return;
     }
     m_waiting.push_back(std::move(task));
-    const bool needsThread =
-            m_waiting.size() > m_idleThreads && m_threads.size() <= m_maximumThreads;
-    if (needsThread)
-        m_threads.emplace_back([this] { runTasks(m_waiting, false); });
-    m_changed.notify_all();
+    const std::size_t idleThreads = m_threads.size() - m_busyThreads;
+    if (m_waiting.size() > idleThreads && m_threads.size() < m_maximumThreads)
+        m_threads.emplace_back([this] { runWaiting(); });
+    m_waitingChanged.notify_one();
 }
 
 void BoundedTaskQueue::shutdown()
 {
-    std::vector<std::thread> threads;
     {
         const std::lock_guard lock(m_mutex);
         m_stopping = true;
-        threads.swap(m_threads);
     }
-    m_changed.notify_all();
-    for (std::thread &thread : threads)
-        thread.join();
+    m_waitingChanged.notify_all();
+    m_refusedChanged.notify_all();
+    for (std::thread &thread : m_threads) {
+        if (thread.joinable())
+            thread.join();
+    }
+    if (m_refusingThread.joinable())
+        m_refusingThread.join();
 }
 
 bool BoundedTaskQueue::isOverloaded()
@@ -56,21 +61,34 @@
     return overloadedThread;
 }
 
-void BoundedTaskQueue::runTasks(Tasks &tasks, bool overloaded)
+void BoundedTaskQueue::runWaiting()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_waitingChanged.wait(lock, [this] { return !m_waiting.empty() || m_stopping; });
+        if (m_waiting.empty())
+            return;
+        const Task task = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        ++m_busyThreads;
+        lock.unlock();
+        task();
+        lock.lock();
+        --m_busyThreads;
+    }
+}
+
+void BoundedTaskQueue::runRefused()
 {
-    overloadedThread = overloaded;
+    overloadedThread = true;
     std::unique_lock lock(m_mutex);
     while (true) {
-        if (!overloaded)
-            ++m_idleThreads;
-        m_changed.wait(lock, [&] { return !tasks.empty() || m_stopping; });
-        if (!overloaded)
-            --m_idleThreads;
-        if (tasks.empty())
+        m_refusedChanged.wait(lock, [this] { return !m_refused.empty() || m_stopping; });
+        if (m_refused.empty())
             return;
-        const std::function<void()> task = std::move(tasks.front());
-        tasks.pop_front();
-        m_changed.notify_all();
+        const Task task = std::move(m_refused.front());
+        m_refused.pop_front();
+        m_refusedChanged.notify_all();
         lock.unlock();
         task();
         lock.lock();
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -140,17 +140,26 @@
     });
 }
 
-void answerJson(httplib::Response &response, int status, const nlohmann::json &json)
+namespace {
+
+void answer(httplib::Response &response, int status, const nlohmann::json &json,
+            const char *contentType)
 {
     response.status = status;
     response.set_content(json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
-                         "application/json");
+                         contentType);
+}
+
+} // namespace
+
+void answerJson(httplib::Response &response, int status, const nlohmann::json &json)
+{
+    answer(response, status, json, "application/json");
 }
 
 void answerProblem(httplib::Response &response, const Problem &problem)
 {
-    answerJson(response, problem.status(), problem.toJson());
-    response.set_header("Content-Type", "application/problem+json");
+    answer(response, problem.status(), problem.toJson(), "application/problem+json");
     if (problem.retryAfterSeconds)
         response.set_header("Retry-After", std::to_string(*problem.retryAfterSeconds));
 }
