Base: Refuse messages that claim excessive sizes or nest deeply

Cause: the new datagram fuzz target ended in an uncaught exception: from_cbor throws out_of_range for an array header that claims an excessive size, also in its mode without exceptions. Deep nesting of a body was found while reading the same code: copying and printing a value recurse. Ruled out: a fault of the datagram's own field readers; the stack ends inside the CBOR reader. Change: parseCbor catches the library's exceptions; parseJson limits the depth to 64.

--- a/Libraries/LibBase/Json.cpp
+++ b/Libraries/LibBase/Json.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Copying and printing a value recurse, so unlimited nesting would overflow the stack.
+constexpr int maximumDepth = 64;
+
 [[noreturn]] void fail(const std::string &message)
 {
     throw Error(ErrorKind::InvalidMessage, message, "Correct the message and send it again.");
@@ -63,7 +66,12 @@
 
 nlohmann::json parseJson(std::string_view text, std::string_view what)
 {
-    nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+    const auto limitDepth = [&](int depth, nlohmann::json::parse_event_t, nlohmann::json &) {
+        if (depth > maximumDepth)
+            fail("The " + std::string(what) + " is nested too deeply");
+        return true;
+    };
+    nlohmann::json json = nlohmann::json::parse(text, limitDepth, false);
     if (json.is_discarded())
         fail("The " + std::string(what) + " is not valid JSON");
     return json;
@@ -71,10 +79,12 @@
 
 nlohmann::json parseCbor(std::string_view bytes, std::string_view what)
 {
-    nlohmann::json json = nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (json.is_discarded())
+    try {
+        return nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+    } catch (const nlohmann::json::exception &) {
+        // The mode without exceptions still throws for an array that claims an excessive size.
         fail("The " + std::string(what) + " is not valid CBOR");
-    return json;
+    }
 }
 
 std::string toCbor(const nlohmann::json &json)
