--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -1,6 +1,8 @@
 #include "lavenderpick/Routing/Router.h"
 
 #include <algorithm>
+#include <cmath>
+#include <xxhash.h>
 
 namespace Lavenderpick {
 
@@ -47,11 +49,12 @@
     const bool isShort = request.promptTokens - cachedTokens <= shortPromptTokens;
     const double backlog = isShort ? load.shortWaitSeconds : load.totalWaitSeconds;
     decision.waitSeconds = backlog + load.stepSeconds / 2; // New work joins at the next step.
-    decision.firstTokenSeconds = decision.waitSeconds + decision.cost.prefillSeconds
-            + m_settings.distanceSeconds[static_cast<std::size_t>(candidate.distance)];
-    scored.score = decision.firstTokenSeconds;
+    scored.score = decision.waitSeconds + decision.cost.prefillSeconds;
+    decision.firstTokenSeconds =
+            scored.score + m_settings.distanceSeconds[static_cast<std::size_t>(candidate.distance)];
     scored.capacity = load.kvCapacity;
-    const double reserve = (1 - m_settings.memoryShare) * static_cast<double>(load.kvCapacity);
+    const double memoryShare = isShort ? m_settings.memoryShare : m_settings.longMemoryShare;
+    const double reserve = (1 - memoryShare) * static_cast<double>(load.kvCapacity);
     scored.fits = static_cast<double>(decision.cost.kvTokens)
             <= static_cast<double>(load.kvFree) - reserve;
     return scored;
@@ -77,35 +80,105 @@
     return best;
 }
 
-std::optional<Router::Scored> Router::bestSampled(const RouteRequest &request,
-                                                  std::span<const Candidate> candidates,
-                                                  TimePoint now, Random &random) const
+double Router::longShare() const
 {
-    std::array<Indices, 3> byDistance;
-    Indices all;
+    const double demand = m_shortDemand + m_longDemand;
+    return demand > 0 ? m_longDemand / demand : 0;
+}
+
+void Router::recordDemand(const RouteRequest &request, std::span<const Candidate> candidates,
+                          TimePoint now)
+{
+    if (candidates.empty())
+        return;
+    constexpr double memorySeconds = 120; // Long prompts are rare; less would follow single ones.
+    const double elapsed = std::chrono::duration<double>(now - m_demandAt).count();
+    const double keep = std::exp(-std::max(0.0, elapsed) / memorySeconds);
+    m_demandAt = now;
+    m_shortDemand *= keep;
+    m_longDemand *= keep;
+    const double seconds =
+            m_costModel
+                    .predict(candidates.front().upstream, request.model, request.promptTokens, 0, 0)
+                    .prefillSeconds;
+    (request.promptTokens <= shortPromptTokens ? m_shortDemand : m_longDemand) += seconds;
+}
+
+std::vector<bool> Router::preferredForLong(std::span<const Candidate> candidates) const
+{
+    // All entries order the upstreams by the same hash, so that they agree without messages.
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    order.reserve(candidates.size());
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const std::string &upstream = candidates[index].upstream;
+        order.emplace_back(XXH3_64bits(upstream.data(), upstream.size()), index);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<bool> preferred(candidates.size(), false);
+    const auto count = std::llround(longShare() * static_cast<double>(candidates.size()));
+    for (std::size_t place = 0; place < static_cast<std::size_t>(count); ++place)
+        preferred[order[place].second] = true;
+    return preferred;
+}
+
+std::vector<Router::Group> Router::groups(const RouteRequest &request,
+                                          std::span<const Candidate> candidates, bool isShort,
+                                          Random &random) const
+{
+    const bool pools = m_settings.usePools && m_settings.objective == Objective::ShortSlowdown;
+    const std::vector<bool> forLong =
+            pools ? preferredForLong(candidates) : std::vector<bool>(candidates.size(), !isShort);
+    double crossing = m_settings.shortCrossingSeconds;
+    if (!isShort && !candidates.empty())
+        crossing = m_settings.longCrossingFactor
+                * m_costModel
+                          .predict(candidates.front().upstream, request.model, request.promptTokens,
+                                   0, 0)
+                          .prefillSeconds;
+    std::vector<Group> result(6);
+    for (std::size_t distance = 0; distance < 3; ++distance) {
+        result[2 * distance].extraSeconds = m_settings.distanceSeconds[distance];
+        result[2 * distance + 1].extraSeconds = m_settings.distanceSeconds[distance] + crossing;
+    }
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const Candidate &candidate = candidates[index];
-        if (!mayUse(request, candidate))
+        if (!mayUse(request, candidate)
+            || (candidate.share < 1 && random.unit() >= candidate.share))
             continue;
-        all.push_back(index);
-        if (candidate.share >= 1 || random.unit() < candidate.share)
-            byDistance[static_cast<std::size_t>(candidate.distance)].push_back(index);
+        const std::size_t crosses = forLong[index] == isShort ? 1 : 0;
+        result[2 * static_cast<std::size_t>(candidate.distance) + crosses].indices.push_back(index);
     }
+    std::stable_sort(result.begin(), result.end(), [](const Group &left, const Group &right) {
+        return left.extraSeconds < right.extraSeconds;
+    });
+    return result;
+}
+
+std::optional<Router::Scored> Router::bestSampled(const RouteRequest &request,
+                                                  std::span<const Candidate> candidates,
+                                                  TimePoint now, Random &random) const
+{
+    const bool isShort = request.promptTokens <= shortPromptTokens;
     std::optional<Scored> best;
-    for (std::size_t distance = 0; distance < byDistance.size(); ++distance) {
-        // A farther candidate pays off only if it saves more waiting than its distance costs.
-        if (best && best->fits
-            && best->decision.waitSeconds <= m_settings.distanceSeconds[distance])
+    for (Group &group : groups(request, candidates, isShort, random)) {
+        // A farther or less suitable group pays off only if it saves more waiting than it costs.
+        if (best && best->fits && best->decision.waitSeconds <= group.extraSeconds)
             break;
-        sampleFront(byDistance[distance], m_settings.samples, random);
-        std::optional<Scored> nearest = bestOf(request, candidates, byDistance[distance], now);
-        if (nearest
-            && (!best || (nearest->fits && !best->fits)
-                || (nearest->fits == best->fits && nearest->score < best->score)))
-            best = std::move(nearest);
+        sampleFront(group.indices, m_settings.samples, random);
+        std::optional<Scored> other = bestOf(request, candidates, group.indices, now);
+        if (!other)
+            continue;
+        other->score += group.extraSeconds;
+        if (!best || std::pair(!other->fits, other->score) < std::pair(!best->fits, best->score))
+            best = std::move(other);
     }
     if (best && best->fits)
         return best;
+    Indices all;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        if (mayUse(request, candidates[index]))
+            all.push_back(index);
+    }
     return bestOf(request, candidates, all, now);
 }
 
@@ -121,6 +194,8 @@
         if (candidate == candidates.end() || candidate->share < 1 || !mayUse(request, *candidate))
             continue;
         std::optional<Scored> scored = score(request, *candidate, holder.tokens, now);
+        if (scored)
+            scored->score = scored->decision.firstTokenSeconds;
         if (scored && scored->fits && (!best || scored->score < best->score))
             best = std::move(scored);
     }
@@ -130,6 +205,7 @@
 RouteDecision Router::choose(const RouteRequest &request, std::span<const Candidate> candidates,
                              TimePoint now, Random &random)
 {
+    recordDemand(request, candidates, now);
     std::optional<Scored> best = bestSampled(request, candidates, now, random);
     if (!best)
         return {};
--- a/Tests/Benchmarks/LimitsBenchmark.cpp
+++ b/Tests/Benchmarks/LimitsBenchmark.cpp
@@ -25,10 +25,11 @@
     TimePoint now = start;
     for (auto _ : state) {
         now += std::chrono::microseconds(100);
-        const AdmissionRequest request { .customer = customers[random.below(customers.size())],
-                                         .chargedSeconds = 0.1,
-                                         .idleSeconds = 1,
-                                         .remainingSeconds = 30 };
+        const CallerAdmissionRequest request { .customer =
+                                                       customers[random.below(customers.size())],
+                                               .chargedSeconds = 0.1,
+                                               .idleSeconds = 1,
+                                               .remainingSeconds = 30 };
         benchmark::DoNotOptimize(admission.admit(request, now));
     }
     state.SetComplexityN(state.range(0));
--- a/include/lavenderpick/Routing/Router.h
+++ b/include/lavenderpick/Routing/Router.h
@@ -14,8 +14,16 @@
     std::array<double, 3> distanceSeconds { 0.0, 0.002, 0.08 };
     /// A prefix holder may be busier than the best other candidate by at most this time.
     double affinityLimitSeconds { 1.0 };
-    double memoryShare { 0.95 }; ///< Of the KV memory that may be planned for.
+    double memoryShare { 0.95 };    ///< Of the KV memory that may be planned for.
+    double longMemoryShare { 0.8 }; ///< Of the KV memory, that long prompts may plan for.
     bool useAffinity { true };
+    bool usePools { true };
+    /// With the objective short_slowdown, a short prompt goes to an engine that is preferred for
+    /// long ones when this saves more than the time that their prefill steps cost it.
+    double shortCrossingSeconds { 0.1 };
+    /// A long prompt goes to an engine preferred for short ones when this saves more than its own
+    /// prefill time multiplied by this factor.
+    double longCrossingFactor { 1 };
 };
 
 /// The policy of section 6 of the design page. Not safe for concurrent use.
@@ -34,6 +42,9 @@
                                          std::span<const Candidate> candidates, TimePoint now,
                                          std::size_t maximumEngines) const;
 
+    /// Share of the engines that long prompts prefer, as it follows from recent demand.
+    double longShare() const;
+
     void setObjective(Objective objective) { m_settings.objective = objective; }
 
 private:
@@ -45,11 +56,22 @@
         std::int64_t capacity { 0 };
     };
     using Indices = std::vector<std::size_t>;
+    /// Candidates of one distance that are preferred for the request's length, or not.
+    struct Group
+    {
+        double extraSeconds { 0 }; ///< Cost of distance and of crossing.
+        Indices indices;
+    };
 
     std::optional<Scored> score(const RouteRequest &request, const Candidate &candidate,
                                 std::int64_t cachedTokens, TimePoint now) const;
     std::optional<Scored> bestOf(const RouteRequest &request, std::span<const Candidate> candidates,
                                  const Indices &indices, TimePoint now) const;
+    std::vector<Group> groups(const RouteRequest &request, std::span<const Candidate> candidates,
+                              bool isShort, Random &random) const;
+    std::vector<bool> preferredForLong(std::span<const Candidate> candidates) const;
+    void recordDemand(const RouteRequest &request, std::span<const Candidate> candidates,
+                      TimePoint now);
     std::optional<Scored> bestSampled(const RouteRequest &request,
                                       std::span<const Candidate> candidates, TimePoint now,
                                       Random &random) const;
@@ -60,6 +82,9 @@
     const CostModel &m_costModel;
     const LoadView &m_loadView;
     const PrefixIndex &m_prefixIndex;
+    double m_shortDemand { 0 }; ///< Prefill seconds, exponentially averaged.
+    double m_longDemand { 0 };
+    TimePoint m_demandAt {};
 };
 
 /// Mean prefill backlog of the usable candidates over `referenceSeconds`: 1 is as much work as the
