--- a/Libraries/LibRouting/RoutingPolicy.cpp
+++ b/Libraries/LibBase/Objective.cpp
@@ -1,12 +1,20 @@
-#include "lavenderpick/Routing/RoutingPolicy.h"
+#include "lavenderpick/Base/Objective.h"
 
 #include "lavenderpick/Base/Error.h"
 
+#include <string>
+
 namespace Lavenderpick {
 
 std::string_view toString(Objective objective)
 {
-    return objective == Objective::ShortSlowdown ? "short_slowdown" : "first_token_by_length";
+    switch (objective) {
+    case Objective::ShortSlowdown:
+        return "short_slowdown";
+    case Objective::FirstTokenByLength:
+        return "first_token_by_length";
+    }
+    return "short_slowdown";
 }
 
 Objective parseObjective(std::string_view name)
