--- a/Services/Entry/InternalApi.cpp
+++ b/Services/Entry/EntryInternalApi.cpp
@@ -1,4 +1,4 @@
-#include "Services/Entry/InternalApi.h"
+#include "Services/Entry/EntryInternalApi.h"
 
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Http/HttpServer.h"
@@ -25,20 +25,21 @@
 
 } // namespace
 
-InternalApi::InternalApi(const EntryContext &context, const MessageAuthenticator &authenticator,
-                         AgentDirectory &directory, DrainGate &gate)
+EntryInternalApi::EntryInternalApi(const EntryContext &context,
+                                   const MessageAuthenticator &authenticator,
+                                   AgentDirectory &directory, DrainGate &gate)
     : m_context(context)
     , m_authenticator(authenticator)
     , m_directory(directory)
     , m_gate(gate)
 { }
 
-void InternalApi::addStatusPart(const std::string &name, StatusPart part)
+void EntryInternalApi::addStatusPart(const std::string &name, StatusPart part)
 {
     m_parts.emplace_back(name, std::move(part));
 }
 
-void InternalApi::addRoutes(httplib::Server &routes)
+void EntryInternalApi::addRoutes(httplib::Server &routes)
 {
     routes.Get("/internal/document",
                authenticated([this](const httplib::Request &request, httplib::Response &response) {
@@ -60,7 +61,7 @@
     });
 }
 
-httplib::Server::Handler InternalApi::authenticated(httplib::Server::Handler handler)
+httplib::Server::Handler EntryInternalApi::authenticated(httplib::Server::Handler handler)
 {
     return [this, handler = std::move(handler)](const httplib::Request &request,
                                                 httplib::Response &response) {
@@ -71,7 +72,7 @@
     };
 }
 
-void InternalApi::answerDocument(const httplib::Request &request, httplib::Response &response)
+void EntryInternalApi::answerDocument(const httplib::Request &request, httplib::Response &response)
 {
     if (m_context.replica.version() == 0)
         throw ProblemError({ .reason = RefusalReason::NotReady,
@@ -84,7 +85,7 @@
                m_context.replica.toMessage(parseSince(request.get_param_value("since")), view));
 }
 
-nlohmann::json InternalApi::health() const
+nlohmann::json EntryInternalApi::health() const
 {
     const auto age = m_context.replica.confirmationAge();
     nlohmann::json json {
@@ -100,7 +101,7 @@
     return json;
 }
 
-nlohmann::json InternalApi::status() const
+nlohmann::json EntryInternalApi::status() const
 {
     nlohmann::json json = health();
     json["role"] = "entry";
@@ -113,7 +114,7 @@
     return json;
 }
 
-std::string InternalApi::metrics()
+std::string EntryInternalApi::metrics()
 {
     const auto age = m_context.replica.confirmationAge();
     m_context.metrics.setGauge("lavenderpick_document_version", {},
--- a/Services/Entry/InternalApi.h
+++ b/Services/Entry/EntryInternalApi.h
@@ -13,14 +13,14 @@
 
 /// `/internal/document`, `/internal/status`, and what operators and balancers read: `/health`,
 /// `/ready` and `/metrics`.
-class InternalApi
+class EntryInternalApi
 {
 public:
     /// Adds what a part of the process tells about itself to the status.
     using StatusPart = std::function<nlohmann::json()>;
 
-    InternalApi(const EntryContext &context, const MessageAuthenticator &authenticator,
-                AgentDirectory &directory, DrainGate &gate);
+    EntryInternalApi(const EntryContext &context, const MessageAuthenticator &authenticator,
+                     AgentDirectory &directory, DrainGate &gate);
 
     void addStatusPart(const std::string &name, StatusPart part);
     void addRoutes(httplib::Server &routes);
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -81,6 +81,8 @@
                                         defaults.maximumDeadline),
         .streamSilence = map.duration("stream_silence", { Milliseconds(100), Seconds(60) },
                                       defaults.streamSilence),
+        .drainNotice =
+                map.duration("drain_notice", { Duration {}, Seconds(600) }, defaults.drainNotice),
     };
 }
 
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -39,6 +39,7 @@
     Duration defaultDeadline { Seconds(120) };
     Duration maximumDeadline { Seconds(3600) };
     Duration streamSilence { Seconds(3) }; ///< R6.
+    Duration drainNotice { Seconds(3) };   ///< Between `/ready` failing and refusing requests.
 
     bool operator==(const EntryCaps &) const = default;
 
