--- a/Services/Entry/CompletionService.cpp
+++ b/Services/Entry/CompletionService.cpp
@@ -16,11 +16,28 @@
 AdmittedCompletion CompletionService::admit(const CompletionRequest &request,
                                             const std::string &requestId,
                                             const std::string &customer, const Document &document)
+{
+    return admitWithin(request, requestId, customer, document, m_context.settings.caps);
+}
+
+AdmittedCompletion CompletionService::admitJob(const CompletionRequest &request,
+                                               const std::string &jobId,
+                                               const std::string &customer,
+                                               const Document &document)
+{
+    EntryCaps caps = m_context.settings.caps;
+    caps.maximumDeadline = caps.maximumJobDeadline;
+    return admitWithin(request, jobId, customer, document, caps);
+}
+
+AdmittedCompletion CompletionService::admitWithin(const CompletionRequest &request,
+                                                  const std::string &requestId,
+                                                  const std::string &customer,
+                                                  const Document &document, const EntryCaps &caps)
 {
     AdmittedCompletion admitted {
         .order = makeOrder(request, m_estimator.estimate(request.model, request.prompt.size()),
-                           requestId, customer, document, m_context.settings.caps,
-                           m_context.clock.now()),
+                           requestId, customer, document, caps, m_context.clock.now()),
         .selection = {},
     };
     const CompletionOrder &order = admitted.order;
--- a/Services/Entry/CompletionService.h
+++ b/Services/Entry/CompletionService.h
@@ -30,10 +30,17 @@
     AdmittedCompletion admit(const CompletionRequest &request, const std::string &requestId,
                              const std::string &customer, const Document &document);
 
+    /// Like `admit` for a job, whose deadline may be days away.
+    AdmittedCompletion admitJob(const CompletionRequest &request, const std::string &jobId,
+                                const std::string &customer, const Document &document);
+
     /// R3 to R9. Blocks until the completion ended.
     CompletionOutcome run(const AdmittedCompletion &admitted, CompletionReceiver &receiver);
 
 private:
+    AdmittedCompletion admitWithin(const CompletionRequest &request, const std::string &requestId,
+                                   const std::string &customer, const Document &document,
+                                   const EntryCaps &caps);
     CompletionOutcome runAnywhere(const AdmittedCompletion &admitted, CompletionReceiver &receiver);
     bool needsSeveralEngines(const AdmittedCompletion &admitted) const;
     void settle(const AdmittedCompletion &admitted, const CompletionOutcome &outcome);
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -34,11 +34,13 @@
               [this](std::function<void()> task) { m_loop.postToWorker(std::move(task)); })
     , m_longPrompts(m_context, m_peers, m_directory, m_relay)
     , m_completions(m_context, m_directory, m_admission, m_waitingRoom, m_relay, m_longPrompts)
+    , m_jobs(m_context, m_platform, m_platform, m_directory, m_completions)
     , m_records(m_platform, m_platform, m_clock, m_random, { .agent = settings.name })
     , m_serviceCalls(m_context, m_peers, m_directory, m_records)
     , m_guard(m_context, m_gate)
     , m_completionApi(m_context, m_completions)
     , m_serviceCallApi(m_context, m_serviceCalls, m_records)
+    , m_jobApi(m_context, m_jobs)
     , m_internalApi(m_context, m_authenticator, m_directory, m_gate)
     , m_server(settings.caps.httpLimits(), m_metrics)
 {
@@ -73,6 +75,8 @@
     httplib::Server &routes = m_server.routes();
     m_completionApi.addRoutes(routes, m_guard);
     m_serviceCallApi.addRoutes(routes, m_guard);
+    m_jobApi.addRoutes(routes, m_guard);
+    m_internalApi.addStatusPart("jobs", [this] { return m_jobs.toJson(); });
     m_internalApi.addRoutes(routes);
 }
 
@@ -99,6 +103,26 @@
         m_admission.adjust(m_directory.pressure(), m_directory.entries().size());
     });
     m_loop.every({ pumpPeriod, 0 }, [this] { m_waitingRoom.pump(); });
+    addJobTimers();
+}
+
+void EntryProcess::addJobTimers()
+{
+    const EntryPeriods &periods = m_settings.periods;
+    // Jitter must not lengthen a renewal beyond what the lease allows for.
+    m_loop.everyOnWorker({ periods.holderRenewal, 0 }, [this] { m_jobs.renew(); });
+    m_loop.everyOnWorker({ periods.holderScan, timerJitter }, [this] { m_jobs.watchHolders(); });
+    m_loop.everyOnWorker({ periods.recordSweep, timerJitter }, [this] { sweepRecords(); });
+}
+
+void EntryProcess::sweepRecords()
+{
+    // One entry sweeps: the first by name, as far as this one knows. Two at once do no harm.
+    const std::vector<Vm> entries = m_directory.entries();
+    if (!entries.empty() && entries.front().name != m_settings.name)
+        return;
+    m_records.sweepExpired(m_callCursor);
+    m_jobs.store().sweepExpired(m_jobCursor);
 }
 
 void EntryProcess::pollVmList()
@@ -134,6 +158,7 @@
     // The balancer needs this time to see that the entry is not ready any more.
     std::this_thread::sleep_for(m_settings.caps.drainNotice);
     m_gate.close();
+    m_jobs.stop();
     const bool empty = m_gate.waitUntilEmpty(m_settings.caps.maximumDeadline);
     log(LogLevel::Info, "entry", empty ? "All requests have ended" : "Requests are still running",
         { { "running", m_gate.running() } });
--- a/Services/Entry/EntryProcess.h
+++ b/Services/Entry/EntryProcess.h
@@ -10,6 +10,8 @@
 #include "Services/Entry/DrainGate.h"
 #include "Services/Entry/EntryContext.h"
 #include "Services/Entry/EntryInternalApi.h"
+#include "Services/Entry/JobApi.h"
+#include "Services/Entry/JobRunner.h"
 #include "Services/Entry/LongPromptRunner.h"
 #include "Services/Entry/PeerClient.h"
 #include "Services/Entry/PeerExchange.h"
@@ -38,7 +40,9 @@
 private:
     void addRoutes();
     void addTimers();
+    void addJobTimers();
     void pollVmList();
+    void sweepRecords();
     void startDrain();
     void drain();
     std::vector<std::string> peerAddresses() const;
@@ -61,14 +65,18 @@
     CompletionRelay m_relay;
     LongPromptRunner m_longPrompts;
     CompletionService m_completions;
+    JobRunner m_jobs;
     CallRecords m_records;
     ServiceCalls m_serviceCalls;
     DrainGate m_gate;
     CallerGuard m_guard;
     CompletionApi m_completionApi;
     ServiceCallApi m_serviceCallApi;
+    JobApi m_jobApi;
     EntryInternalApi m_internalApi;
     HttpServer m_server;
+    std::string m_callCursor; ///< Where the next sweep goes on; used by its timer only.
+    std::string m_jobCursor;
     std::thread m_drain;
 };
 
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t shortestClusterKey = 16;
 constexpr Range<std::int64_t> ports { 1, 65'535 };
+constexpr Range<Duration> jobDeadlineRange { Seconds(1), std::chrono::hours(30 * 24) };
 constexpr Range<Duration> periodRange { Milliseconds(10), Seconds(3600) };
 
 std::string readKeyFile(const SettingsMap &map, const std::string &path)
@@ -79,6 +80,10 @@
                                         defaults.defaultDeadline),
         .maximumDeadline = map.duration("maximum_deadline", { Milliseconds(100), Seconds(86'400) },
                                         defaults.maximumDeadline),
+        .defaultJobDeadline =
+                map.duration("default_job_deadline", jobDeadlineRange, defaults.defaultJobDeadline),
+        .maximumJobDeadline =
+                map.duration("maximum_job_deadline", jobDeadlineRange, defaults.maximumJobDeadline),
         .streamSilence = map.duration("stream_silence", { Milliseconds(100), Seconds(60) },
                                       defaults.streamSilence),
         .drainNotice =
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -38,6 +38,8 @@
     std::int64_t jobs { 16 }; ///< Jobs that run at once at this entry.
     Duration defaultDeadline { Seconds(120) };
     Duration maximumDeadline { Seconds(3600) };
+    Duration defaultJobDeadline { std::chrono::hours(24) };
+    Duration maximumJobDeadline { std::chrono::hours(7 * 24) };
     Duration streamSilence { Seconds(3) }; ///< R6.
     Duration drainNotice { Seconds(3) };   ///< Between `/ready` failing and refusing requests.
 
