--- a/Libraries/LibSettings/YamlDocument.cpp
+++ b/Libraries/LibSettings/YamlDocument.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // Aliases let a small file stand for a value of any size.
-constexpr int maximumValues = 1'000'000;
+constexpr int maximumValues = 500'000;
 constexpr int maximumDepth = 32;
 
 class Converter
