Load: Fix group memory and measure interference

A prompt between the plannable and the whole memory of an engine could neither fit nor form a group, and a segment whose memory was reserved could queue behind work that waited for that memory. Groups now form from the plannable size on, with equal parts, and reserved segments run at once.

--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -52,14 +52,29 @@
     scored.score = decision.waitSeconds + decision.cost.prefillSeconds;
     decision.firstTokenSeconds =
             scored.score + m_settings.distanceSeconds[static_cast<std::size_t>(candidate.distance)];
-    scored.capacity = load.kvCapacity;
+    scored.score += interferenceSeconds(decision.cost, load, isShort);
     const double memoryShare = isShort ? m_settings.memoryShare : m_settings.longMemoryShare;
-    const double reserve = (1 - memoryShare) * static_cast<double>(load.kvCapacity);
+    const auto capacity = static_cast<double>(load.kvCapacity);
+    scored.capacity = static_cast<std::int64_t>(memoryShare * capacity);
     scored.fits = static_cast<double>(decision.cost.kvTokens)
-            <= static_cast<double>(load.kvFree) - reserve;
+            <= static_cast<double>(load.kvFree) - (1 - memoryShare) * capacity;
     return scored;
 }
 
+double Router::interferenceSeconds(const PredictedCost &cost, const UpstreamLoad &load,
+                                   bool isShort) const
+{
+    if (m_settings.objective != Objective::ShortSlowdown)
+        return 0;
+    if (!isShort)
+        return m_settings.interference * m_settings.harmWeight * cost.prefillSeconds
+                * static_cast<double>(load.requests);
+    // Decoding beside a long prefill takes longer until either of the two ends.
+    const double longSeconds = load.totalWaitSeconds - load.shortWaitSeconds;
+    const double decodeSeconds = cost.decodeSeconds / std::max(0.1, 1 - m_settings.interference);
+    return m_settings.interference * std::min(longSeconds, decodeSeconds);
+}
+
 std::optional<Router::Scored> Router::bestOf(const RouteRequest &request,
                                              std::span<const Candidate> candidates,
                                              const Indices &indices, TimePoint now) const
@@ -82,7 +97,7 @@
 
 double Router::longShare() const
 {
-    const double demand = m_shortDemand + m_longDemand;
+    const double demand = m_settings.shortHeadroom * m_shortDemand + m_longDemand;
     return demand > 0 ? m_longDemand / demand : 0;
 }
 
@@ -241,17 +256,17 @@
                 engines.emplace_back(free, candidate.upstream);
         }
         std::sort(engines.begin(), engines.end(), std::greater<> {});
-        std::vector<std::string> group;
-        std::int64_t free = 0;
-        for (const auto &[tokens, upstream] : engines) {
-            if (free >= needed || group.size() == maximumEngines)
-                break;
-            free += tokens;
-            group.push_back(upstream);
-        }
-        std::sort(group.begin(), group.end());
-        if (free >= needed)
+        const std::size_t most = std::min(maximumEngines, engines.size());
+        for (std::size_t count = 2; count <= most; ++count) {
+            const auto parts = static_cast<std::int64_t>(count);
+            if (engines[count - 1].first < (needed + parts - 1) / parts)
+                continue;
+            std::vector<std::string> group;
+            for (std::size_t place = 0; place < count; ++place)
+                group.push_back(engines[place].second);
+            std::sort(group.begin(), group.end());
             return group;
+        }
     }
     return {};
 }
--- a/Services/Load/EngineModel.cpp
+++ b/Services/Load/EngineModel.cpp
@@ -6,6 +6,10 @@
 
 void EngineModel::submit(const EngineSequence &sequence)
 {
+    if (sequence.kvTokens == 0) { // Its memory is reserved already.
+        m_running.push_back(sequence);
+        return;
+    }
     // Waiting work stands in the order of service: short before long, then by arrival.
     const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const auto &other) {
         return m_settings.shortFirst && !sequence.isLong && other.isLong;
--- a/Services/Load/Experiment.cpp
+++ b/Services/Load/Experiment.cpp
@@ -7,8 +7,8 @@
 namespace Lavenderpick::Load {
 
 const std::vector<std::string> experimentMechanisms {
-    "short_first", "chunked_prefill", "own_sends",    "affinity", "pools",    "long_memory",
-    "admission",   "budgets",         "retry_budget", "outliers", "sampling",
+    "short_first", "chunked_prefill", "own_sends", "affinity",     "pools",    "interference",
+    "long_memory", "admission",       "budgets",   "retry_budget", "outliers", "sampling",
 };
 
 namespace {
--- a/Services/Load/Experiment.h
+++ b/Services/Load/Experiment.h
@@ -10,8 +10,8 @@
 
 namespace Lavenderpick::Load {
 
-/// Prompt lengths: log-normal below `longMinimum`, and a share spread evenly over the logarithm up
-/// to `maximum`.
+/// Prompt lengths: log-normal below `longMinimum`, and above it a share whose density falls with
+/// the square of the length, up to `maximum`.
 struct LengthMix
 {
     double median { 3'000 };
--- a/Services/Load/FleetModel.cpp
+++ b/Services/Load/FleetModel.cpp
@@ -30,13 +30,21 @@
     sample.phases.clear();
     sample.seconds = 50'000; // At one request a second.
     Arrivals arrivals(sample, 1);
+    const EngineModelSettings settings = engineSettings(experiment);
     double work = 0;
+    double memory = 0; // KV tokens, multiplied by the seconds for which they are held.
     double requests = 0;
     while (const std::optional<Arrival> arrival = arrivals.next()) {
-        work += EngineModel::workSeconds({}, arrival->promptTokens);
+        const double seconds = EngineModel::workSeconds(settings, arrival->promptTokens);
+        const auto output = static_cast<double>(arrival->outputTokens);
+        work += seconds;
+        memory += static_cast<double>(arrival->promptTokens + arrival->outputTokens)
+                * (seconds + 2 * settings.stepSeconds * output);
         ++requests;
     }
-    return experiment.fleet.runners * requests / work;
+    const double byWork = requests / work;
+    const double byMemory = requests * static_cast<double>(settings.kvTokens) / memory;
+    return experiment.fleet.runners * std::min(byWork, byMemory);
 }
 
 FleetModel::FleetModel(const Experiment &experiment)
--- a/Services/Load/FleetModel.h
+++ b/Services/Load/FleetModel.h
@@ -20,7 +20,7 @@
 
     void run(Results &results);
 
-    /// Requests a second at which the engines are busy all the time.
+    /// Requests a second at which the engines are busy all the time or their memory is full.
     static double capacityRate(const Experiment &experiment);
 
 private:
--- a/include/lavenderpick/Routing/Router.h
+++ b/include/lavenderpick/Routing/Router.h
@@ -24,6 +24,14 @@
     /// A long prompt goes to an engine preferred for short ones when this saves more than its own
     /// prefill time multiplied by this factor.
     double longCrossingFactor { 1 };
+    /// Engine time planned for a second of short prefill over that for a second of long prefill:
+    /// short requests are only fast on engines with idle time.
+    double shortHeadroom { 2 };
+    /// With the objective short_slowdown: part of the time of a long prefill by which it delays
+    /// each request that decodes on the same engine.
+    double interference { 0.6 };
+    /// Weight of the delay that a long prompt causes to one running request.
+    double harmWeight { 0.1 };
 };
 
 /// The policy of section 6 of the design page. Not safe for concurrent use.
@@ -36,8 +44,9 @@
     RouteDecision choose(const RouteRequest &request, std::span<const Candidate> candidates,
                          TimePoint now, Random &random) override;
 
-    /// Engines for a prompt that needs more memory than one has (P1): the fewest of one distance
-    /// whose free memory holds it, in ascending upstream name. Empty when there are not enough.
+    /// Engines for a prompt that needs more memory than one has (P1): the fewest, nearest first,
+    /// that can each take an equal part, in ascending upstream name. Empty when there are not
+    /// enough.
     std::vector<std::string> chooseGroup(const RouteRequest &request,
                                          std::span<const Candidate> candidates, TimePoint now,
                                          std::size_t maximumEngines) const;
@@ -65,6 +74,8 @@
 
     std::optional<Scored> score(const RouteRequest &request, const Candidate &candidate,
                                 std::int64_t cachedTokens, TimePoint now) const;
+    double interferenceSeconds(const PredictedCost &cost, const UpstreamLoad &load,
+                               bool isShort) const;
     std::optional<Scored> bestOf(const RouteRequest &request, std::span<const Candidate> candidates,
                                  const Indices &indices, TimePoint now) const;
     std::vector<Group> groups(const RouteRequest &request, std::span<const Candidate> candidates,
--- a/include/lavenderpick/Routing/RoutingPolicy.h
+++ b/include/lavenderpick/Routing/RoutingPolicy.h
@@ -41,8 +41,8 @@
     double firstTokenSeconds { 0 }; ///< Predicted, including waiting and distance.
     double waitSeconds { 0 };       ///< The part of it spent waiting for other work.
     std::int64_t cachedTokens { 0 };
-    /// Largest KV memory of the candidates that were looked at, with UpstreamMemory: a prompt above
-    /// it needs several engines, any other can wait.
+    /// KV tokens that one engine can plan for a prompt of this length, with UpstreamMemory: a
+    /// prompt above it needs several engines, any other can wait.
     std::int64_t largestCapacity { 0 };
 
     explicit operator bool() const { return !upstream.empty(); }
