--- a/Services/Entry/AdmissionControl.cpp
+++ b/Services/Entry/AdmissionControl.cpp
@@ -1,5 +1,8 @@
 #include "Services/Entry/AdmissionControl.h"
 
+#include "lavenderpick/Base/Error.h"
+#include "lavenderpick/Base/Log.h"
+
 #include <algorithm>
 
 namespace Lavenderpick {
@@ -56,9 +59,7 @@
         const auto before = m_customers.entries.find(name);
         if (before != m_customers.entries.end() && before->second.version == entry.version)
             continue;
-        if (const auto customer = document->customer(name))
-            m_budgets.setLimit(name,
-                               { .costPerSecond = customer->budget, .weight = customer->weight });
+        takeOver(name, *document);
     }
     for (const auto &[name, entry] : m_customers.entries) {
         if (!customers.entries.contains(name))
@@ -68,6 +69,18 @@
     m_customersVersion = customers.version;
 }
 
+void AdmissionControl::takeOver(const std::string &name, const Document &document)
+{
+    try {
+        if (const auto customer = document.customer(name))
+            m_budgets.setLimit(name,
+                               { .costPerSecond = customer->budget, .weight = customer->weight });
+    } catch (const Error &error) {
+        // One entry that can't be read must not keep the others from being taken over.
+        log(LogLevel::Warning, "admission", error.what());
+    }
+}
+
 void AdmissionControl::adjust(double pressure, std::size_t entries)
 {
     const std::lock_guard lock(m_mutex);
--- a/Services/Entry/AdmissionControl.h
+++ b/Services/Entry/AdmissionControl.h
@@ -31,6 +31,7 @@
     void mergeGossip(const Gossip &received, Gossip *answer);
 
 private:
+    void takeOver(const std::string &name, const Document &document);
     CallerAdmissionRequest requestFor(const CompletionOrder &order,
                                       const RouteDecision &prediction) const;
 
--- a/Services/Entry/CallerGuard.cpp
+++ b/Services/Entry/CallerGuard.cpp
@@ -25,6 +25,8 @@
         return RefusalReason::StoreUnavailable;
     case ErrorKind::DeadlineExceeded:
         return RefusalReason::DeadlineExceeded;
+    case ErrorKind::InvalidDocument:
+        return RefusalReason::NotReady;
     case ErrorKind::NotFound:
         return RefusalReason::NotFound;
     case ErrorKind::UpstreamUnavailable:
