--- a/Tests/Processes/local_cluster.py
+++ b/Tests/Processes/local_cluster.py
@@ -132,7 +132,14 @@
         for name in self.entry_names:
             self.start_entry(name)
         for name in self.entry_names:
-            self.wait_ready(name)
+            self.wait_serving(name)
+
+    def wait_serving(self, name):
+        """Waits until the entry is ready and has heard from the agents."""
+        self.wait_ready(name)
+        wait_until(lambda: self.complete(name, prompt_of(100), 1).status == 200, 20, f"{name} reaches no engine")
+        wait_until(lambda: self.book(name, f"start-{name}-{time.time()}", {"pairs": 0}).status == 200, 20,
+                   f"{name} reaches no service")
 
     def start_engine(self, name):
         fence = ["--ignore-fence"] if self.ignore_fence else []
