--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -35,6 +35,13 @@
     return result;
 }
 
+// The message without its remedy, which does not suit what the failure means here.
+std::string causeOf(const Error &error)
+{
+    const std::string text = error.what();
+    return text.substr(0, text.size() - error.remedy().size() - std::string(". ").size());
+}
+
 [[noreturn]] void throwUnavailable(const std::string &cause)
 {
     throw Error(ErrorKind::StoreUnavailable, "The platform's store is unavailable: " + cause,
@@ -128,8 +135,8 @@
         response = send(request);
     } catch (const Error &error) {
         if (access == Access::Write && error.kind() != ErrorKind::UpstreamUnavailable)
-            throwOutcomeUnknown(error.what());
-        throwUnavailable(error.what());
+            throwOutcomeUnknown(causeOf(error));
+        throwUnavailable(causeOf(error));
     }
     const std::string cause =
             request.method + " " + request.path + " returned " + std::to_string(response.status);
@@ -187,7 +194,7 @@
         return response.status == 409 ? parseConflict(json, writes)
                                       : parseApplied(json, writes.size());
     } catch (const Error &error) {
-        throwOutcomeUnknown(error.what());
+        throwOutcomeUnknown(causeOf(error));
     } catch (const nlohmann::json::exception &error) {
         throwOutcomeUnknown(error.what());
     }
@@ -235,18 +242,16 @@
 bool HttpPlatform::mayDownload(const std::string &model, const std::string &version)
 {
     constexpr int tooManyRequests = 429;
-    HttpRequest request {
-        .method = "GET", .path = "/weights/" + percentEncoded(model) + "/" + percentEncoded(version)
-    };
-    request.timeout = m_timeout;
+    const std::string path = "/weights/" + percentEncoded(model) + "/" + percentEncoded(version);
+    int status = 0;
     try {
-        const HttpResponse response = send(request);
-        if (response.status == 200 || response.status == tooManyRequests)
-            return response.status == 200;
-        throwUnavailable(request.path + " returned " + std::to_string(response.status));
+        status = send({ .method = "GET", .path = path, .timeout = m_timeout }).status;
     } catch (const Error &error) {
-        throwUnavailable(error.what());
+        throwUnavailable(causeOf(error));
     }
+    if (status != 200 && status != tooManyRequests)
+        throwUnavailable(path + " returned " + std::to_string(status));
+    return status == 200;
 }
 
 } // namespace Lavenderpick
--- a/Services/Operator/UpstreamList.cpp
+++ b/Services/Operator/UpstreamList.cpp
@@ -60,7 +60,8 @@
 std::string agentStateOf(const nlohmann::json &status, std::int64_t epoch)
 {
     try {
-        if (optionalInteger(status, "epoch", 0) < epoch)
+        // An agent that has seen no plan reports -1.
+        if (optionalInteger(status, "plan_epoch", 0, -1) < epoch && epoch > 0)
             return "unknown";
         if (optionalBool(status, "drained", false))
             return "drained";
--- a/Tests/ServiceOperator/TestUpstreamCommand.cpp
+++ b/Tests/ServiceOperator/TestUpstreamCommand.cpp
@@ -77,11 +77,13 @@
 // Guards against "drained" from an agent that has not seen the plan yet.
 BOOST_AUTO_TEST_CASE(an_agent_behind_the_plan_is_not_drained)
 {
-    const nlohmann::json status { { "epoch", 4 }, { "drained", true }, { "accepting", false } };
+    const nlohmann::json status { { "plan_epoch", 4 },
+                                  { "drained", true },
+                                  { "accepting", false } };
     BOOST_TEST(agentStateOf(status, 4) == "drained");
     BOOST_TEST(agentStateOf(status, 5) == "unknown");
-    BOOST_TEST(agentStateOf({ { "epoch", 5 }, { "accepting", false } }, 5) == "draining");
-    BOOST_TEST(agentStateOf({ { "accepting", true } }, 0) == "serving");
+    BOOST_TEST(agentStateOf({ { "plan_epoch", 5 }, { "accepting", false } }, 5) == "draining");
+    BOOST_TEST(agentStateOf({ { "plan_epoch", -1 }, { "accepting", true } }, 0) == "serving");
     BOOST_TEST(agentStateOf("text", 0) == "unknown");
     BOOST_TEST(agentStateOf({ { "drained", "yes" } }, 0) == "unknown");
 }
