--- a/Services/Entry/CompletionRelay.cpp
+++ b/Services/Entry/CompletionRelay.cpp
@@ -85,6 +85,7 @@
     bool anyToken { false };
     bool attemptToken { false }; ///< The current attempt has sent a token.
     bool receiverLeft { false };
+    bool stopped { false }; ///< The receiver has left, or the deadline has passed.
     bool refused { false }; ///< The current attempt was refused, so that nothing runs there.
     int retries { 0 };
 
@@ -194,9 +195,8 @@
         step = readStream(run, target.address, resumeRequest(run));
     }
     const bool complete = step == StreamStep::Finish;
-    const bool stopped = run.receiverLeft || run.problem.has_value();
     AttemptResult result {
-        .failed = !complete && !run.refused && !stopped,
+        .failed = !complete && !run.refused && !run.stopped,
         .outputTokens = run.stream.nextOffset() - firstOffset,
     };
     if (complete)
@@ -344,9 +344,10 @@
 std::optional<Problem> CompletionRelay::stopReason(Run &run) const
 {
     run.receiverLeft = run.receiverLeft || !run.receiver.isOpen();
+    run.stopped = run.receiverLeft || m_clock.now() >= run.order.deadline;
     if (run.receiverLeft)
         return Problem { .reason = RefusalReason::Cancelled, .detail = "The caller has left." };
-    if (m_clock.now() >= run.order.deadline)
+    if (run.stopped)
         return Problem { .reason = RefusalReason::DeadlineExceeded,
                          .detail =
                                  "The deadline passed. Allow more time or ask for fewer tokens." };
--- a/Services/Entry/ServiceCalls.cpp
+++ b/Services/Entry/ServiceCalls.cpp
@@ -151,7 +151,7 @@
         sending.tried.push_back(target.upstream());
         CallRequest message = request;
         message.deadlineMilliseconds = toMilliseconds(deadline - m_context.clock.now());
-        const auto answer = sendTo(target, message, sending);
+        std::optional<CallAnswer> answer = sendTo(target, message, sending);
         const bool proven = answer && answer->ran == Ran::No && answer->state.empty();
         if (!proven || (sending.refusal && refusesEverywhere(sending.refusal->reason)))
             return answer;
