Base: Give quantiles from the first sample

Cause: /metrics of an entry with one completion printed nan. The library has no right-tail quantile when the tail would be all of the window's samples. Ruled out: an empty window; the count was 1. Change: the maximum stands in, and the cache is one sample larger so that 0.9 of a full window is exact.

--- a/Libraries/LibBase/Metrics.cpp
+++ b/Libraries/LibBase/Metrics.cpp
@@ -6,6 +6,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 #include <boost/accumulators/statistics/tail_quantile.hpp>
+#include <cmath>
 #include <sstream>
 
 namespace Lavenderpick {
@@ -16,13 +17,12 @@
 
 using Total =
         acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max>>;
-using Window =
-        acc::accumulator_set<double,
-                             acc::stats<acc::tag::count, acc::tag::tail_quantile<acc::right>>>;
+using Window = acc::accumulator_set<
+        double, acc::stats<acc::tag::count, acc::tag::max, acc::tag::tail_quantile<acc::right>>>;
 
 // A cache of a tenth of the window makes every quantile from 0.9 upwards exact.
 constexpr std::size_t windowSamples = 4096;
-constexpr std::size_t tailCacheSamples = windowSamples / 10 + 1;
+constexpr std::size_t tailCacheSamples = windowSamples / 10 + 2;
 
 Window emptyWindow()
 {
@@ -96,7 +96,9 @@
     const Window &window = useCurrent ? m_accumulators->current : m_accumulators->previous;
     if (acc::count(window) == 0)
         return 0;
-    return acc::quantile(window, acc::quantile_probability = probability);
+    // The library has no quantile for a window whose tail would be all of its samples.
+    const double value = acc::quantile(window, acc::quantile_probability = probability);
+    return std::isnan(value) ? acc::max(window) : value;
 }
 
 void Metrics::increment(const std::string &name, const std::string &labels, std::uint64_t amount)
