Agent: Keep a drain open for undelivered ends and bound waiting prompts

An attempt that had ended while its connection was broken did not count as open, so a terminated agent could exit before the entry came back for the last event. It now stays open until a reader got that event or the time after which an attempt counts as abandoned has passed.

--- a/Libraries/LibUpstream/AttemptTable.cpp
+++ b/Libraries/LibUpstream/AttemptTable.cpp
@@ -1,5 +1,7 @@
 #include "lavenderpick/Upstream/AttemptTable.h"
 
+#include <algorithm>
+
 namespace Lavenderpick {
 
 AttemptTable::AddResult AttemptTable::add(const std::string &attemptId, TimePoint deadline,
@@ -38,6 +40,13 @@
     attempt->second.endedAt = now;
 }
 
+void AttemptTable::delivered(const std::string &attemptId)
+{
+    const auto attempt = m_attempts.find(attemptId);
+    if (attempt != m_attempts.end())
+        attempt->second.isDelivered = true;
+}
+
 std::vector<AttemptTable::Expired> AttemptTable::expired(TimePoint now) const
 {
     std::vector<Expired> expired;
@@ -73,6 +82,17 @@
     return count;
 }
 
+std::size_t AttemptTable::openCount(TimePoint now) const
+{
+    std::size_t count = 0;
+    for (const auto &[id, attempt] : m_attempts) {
+        const TimePoint since = std::max(attempt.endedAt, attempt.lastRead);
+        const bool mayBeFetched = !attempt.isDelivered && since + m_limits.abandonAfter > now;
+        count += !attempt.hasEnded || attempt.readers > 0 || mayBeFetched ? 1 : 0;
+    }
+    return count;
+}
+
 std::vector<std::string> AttemptTable::runningIds() const
 {
     std::vector<std::string> ids;
--- a/Libraries/LibUpstream/UpstreamAdmission.cpp
+++ b/Libraries/LibUpstream/UpstreamAdmission.cpp
@@ -61,7 +61,7 @@
     const bool isNext = index && m_waiting[*index].request.attemptId == request.attemptId;
     if (isNext && fits(m_waiting[*index], now) && start(*index))
         return { .decision = AdmissionDecision::Started };
-    if (m_waiting.size() <= m_settings.maximumWaiting)
+    if (mayWait())
         return { .decision = AdmissionDecision::Waiting };
     m_waiting.pop_back();
     return { .decision = AdmissionDecision::Refused, .reason = RefusalReason::QueueFull };
@@ -186,6 +186,14 @@
     return longTokens() == 0 || longTokens() + tokens <= allowance;
 }
 
+// Whether the queue is within its bounds with the last request in it.
+bool UpstreamAdmission::mayWait() const
+{
+    if (m_waiting.size() > m_settings.maximumWaiting)
+        return false;
+    return m_waiting.size() == 1 || waitingPrefillTokens() <= m_settings.maximumWaitingTokens;
+}
+
 bool UpstreamAdmission::start(std::size_t index)
 {
     const AdmissionRequest request = m_waiting[index].request;
--- a/Services/Agent/AttemptRun.cpp
+++ b/Services/Agent/AttemptRun.cpp
@@ -105,6 +105,9 @@
         mustCancel = m_buffer.lastEvent()->type == AttemptEventType::Failed;
         m_readerDone = true;
     }
+    // An ended attempt is kept for late readers; its prompt may be megabytes.
+    m_request.prompt = {};
+    m_request.resumeText = {};
     // A cancel that overtook the request found nothing at the engine.
     if (mustCancel)
         cancelAtEngine();
--- a/Services/Agent/AttemptRun.h
+++ b/Services/Agent/AttemptRun.h
@@ -55,7 +55,7 @@
     bool pauseBeforeRetry();
     void cancelAtEngine();
 
-    const AttemptRequest m_request;
+    AttemptRequest m_request; ///< Texts are the reader's; it frees them at its end.
     const std::int64_t m_enginePriority;
     Engine &m_engine;
     UpstreamGate &m_gate;
--- a/Services/Agent/AttemptService.cpp
+++ b/Services/Agent/AttemptService.cpp
@@ -49,14 +49,12 @@
     {
         const std::lock_guard lock(service.m_mutex);
         service.m_table.readerConnected(attemptId);
-        ++service.m_readers;
     }
 
     ~Reader()
     {
         const std::lock_guard lock(service.m_mutex);
         service.m_table.readerLeft(attemptId, service.m_clock.now());
-        --service.m_readers;
     }
 
     Reader(const Reader &) = delete;
@@ -119,6 +117,8 @@
     if (!run)
         return;
     run->cancel(RefusalReason::Cancelled);
+    // Whoever cancels does not come back for the last event.
+    onDelivered(attemptId);
     if (!run->isStarted())
         onEnded(attemptId);
 }
@@ -172,7 +172,7 @@
 std::size_t AttemptService::openCount() const
 {
     const std::lock_guard lock(m_mutex);
-    return std::max<std::size_t>(m_table.runningCount(), m_readers);
+    return m_table.openCount(m_clock.now());
 }
 
 std::set<std::string> AttemptService::claims() const
@@ -269,8 +269,10 @@
                 }
                 if (!write(sink, bytes))
                     return false;
-                if (events.back().type != AttemptEventType::Token)
+                if (events.back().type != AttemptEventType::Token) {
+                    onDelivered(reader->attemptId);
                     sink.done();
+                }
                 return true;
             });
 }
@@ -282,6 +284,12 @@
     m_table.ended(attemptId, m_clock.now());
 }
 
+void AttemptService::onDelivered(const std::string &attemptId)
+{
+    const std::lock_guard lock(m_mutex);
+    m_table.delivered(attemptId);
+}
+
 void AttemptService::remove(const std::string &attemptId)
 {
     std::shared_ptr<AttemptRun> run;
--- a/Services/Agent/AttemptService.h
+++ b/Services/Agent/AttemptService.h
@@ -41,7 +41,7 @@
     /// period of a plan has ended.
     void failAll(RefusalReason reason);
 
-    /// Attempts that run or whose last events are still being read.
+    /// Attempts that a graceful shutdown waits for.
     std::size_t openCount() const;
 
     /// Streams that the engine shall keep.
@@ -58,6 +58,7 @@
     void stream(const std::shared_ptr<AttemptRun> &run, const std::string &attemptId,
                 std::int64_t from, httplib::Response &response);
     void onEnded(const std::string &attemptId);
+    void onDelivered(const std::string &attemptId);
     void remove(const std::string &attemptId);
 
     Engine &m_engine;
@@ -68,7 +69,6 @@
     mutable std::mutex m_mutex;
     AttemptTable m_table;
     std::map<std::string, std::shared_ptr<AttemptRun>> m_runs;
-    std::atomic<std::size_t> m_readers { 0 };
     std::atomic<bool> m_stopping { false };
 };
 
--- a/Tests/LibUpstream/TestAttempts.cpp
+++ b/Tests/LibUpstream/TestAttempts.cpp
@@ -60,6 +60,28 @@
     BOOST_TEST(table.removeOld(start + Seconds(240)).size() == 1);
 }
 
+// Guards against a shutdown between the last event of an attempt and the entry that comes back for
+// it on a new connection.
+BOOST_AUTO_TEST_CASE(undelivered_attempts_are_open)
+{
+    AttemptTable table({});
+    table.add("a", start + Seconds(600), start);
+    table.readerConnected("a");
+    table.ended("a", start + Seconds(1));
+    table.readerLeft("a", start + Seconds(1));
+    BOOST_TEST(table.openCount(start + Seconds(2)) == 1);
+    table.readerConnected("a");
+    table.delivered("a");
+    BOOST_TEST(table.openCount(start + Seconds(2)) == 1);
+    table.readerLeft("a", start + Seconds(2));
+    BOOST_TEST(table.openCount(start + Seconds(2)) == 0);
+
+    table.add("b", start + Seconds(600), start + Seconds(2));
+    table.ended("b", start + Seconds(3));
+    BOOST_TEST(table.openCount(start + Seconds(12)) == 1);
+    BOOST_TEST(table.openCount(start + Seconds(13)) == 0);
+}
+
 // Guards against an attempt that runs past its deadline while somebody reads it.
 BOOST_AUTO_TEST_CASE(deadline_ends_a_read_attempt)
 {
--- a/Tests/LibUpstream/TestUpstreamAdmission.cpp
+++ b/Tests/LibUpstream/TestUpstreamAdmission.cpp
@@ -69,6 +69,25 @@
                boost::test_tools::per_element());
 }
 
+// Guards against waiting prompts that fill this process's memory.
+BOOST_AUTO_TEST_CASE(queue_is_bounded_in_tokens)
+{
+    UpstreamAdmission small({ .maximumWaitingTokens = 150'000 }, ledger);
+    small.setModels({ "m" });
+    const auto ask = [&](const std::string &id) {
+        return small.request({ .attemptId = id,
+                               .model = "m",
+                               .prefillTokens = 90'000,
+                               .kvTokens = 90'000,
+                               .deadline = start + Seconds(60) },
+                             start);
+    };
+    BOOST_TEST((ask("running").decision == AdmissionDecision::Started));
+    BOOST_TEST((ask("waiting").decision == AdmissionDecision::Waiting));
+    BOOST_TEST((ask("refused").reason == RefusalReason::QueueFull));
+    BOOST_TEST(small.waitingCount() == 1);
+}
+
 // Guards against long prompts that fill the memory while short ones are in demand.
 BOOST_AUTO_TEST_CASE(long_share_follows_demand)
 {
--- a/include/lavenderpick/Upstream/AttemptTable.h
+++ b/include/lavenderpick/Upstream/AttemptTable.h
@@ -44,6 +44,9 @@
     void readerConnected(const std::string &attemptId);
     void readerLeft(const std::string &attemptId, TimePoint now);
     void ended(const std::string &attemptId, TimePoint now);
+
+    /// A reader got the last event.
+    void delivered(const std::string &attemptId);
     void remove(const std::string &attemptId) { m_attempts.erase(attemptId); }
 
     struct Expired
@@ -61,6 +64,10 @@
     std::vector<std::string> removeOld(TimePoint now);
 
     std::size_t runningCount() const;
+
+    /// Attempts that a graceful shutdown waits for: those that run, and those whose last event
+    /// nobody got although the entry may still come back for it.
+    std::size_t openCount(TimePoint now) const;
     std::vector<std::string> runningIds() const;
 
 private:
@@ -71,6 +78,7 @@
         TimePoint endedAt {};
         int readers { 0 };
         bool hasEnded { false };
+        bool isDelivered { false };
     };
 
     AttemptTableLimits m_limits;
--- a/include/lavenderpick/Upstream/UpstreamAdmission.h
+++ b/include/lavenderpick/Upstream/UpstreamAdmission.h
@@ -15,6 +15,9 @@
 struct UpstreamAdmissionSettings
 {
     std::size_t maximumWaiting { 64 };
+    /// Waiting prompts are held in this process's memory, 4 bytes a token. One may exceed the
+    /// bound.
+    std::int64_t maximumWaitingTokens { 4'000'000 };
     /// Prompts with at least this many tokens to prefill are long.
     std::int64_t longPromptTokens { 32'000 };
     /// Bounds of the share of memory for long prompts. The upper one leaves room for short work
@@ -125,6 +128,7 @@
     std::optional<std::size_t> best(bool wantLong, TimePoint now) const;
     bool fits(const Waiting &waiting, TimePoint now) const;
     bool start(std::size_t index);
+    bool mayWait() const;
     std::int64_t longTokens() const;
     std::int64_t memoryKeptForLong(TimePoint now) const;
 
