--- a/Tests/StandIns/PlatformServer.cpp
+++ b/Tests/StandIns/PlatformServer.cpp
@@ -29,7 +29,7 @@
     : m_options(options)
     , m_weightTokens(1)
     , m_weightTokensAt(m_clock.now())
-    , m_server({ .threads = 64, .bodyBytes = 256 * 1024 * 1024 }, m_metrics)
+    , m_server({ .threads = 1024, .bodyBytes = 256 * 1024 * 1024 }, m_metrics)
 {
     m_faults.addRoutes(m_server.routes());
     addTableRoutes();
