--- /dev/null
+++ b/Libraries/LibRouting/Router.cpp
@@ -0,0 +1,289 @@
+#include "lavenderpick/Routing/Router.h"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace Lavenderpick {
+
+namespace {
+
+bool mayUse(const RouteRequest &request, const Candidate &candidate)
+{
+    return candidate.usable && candidate.share > 0
+            && std::find(request.tried.begin(), request.tried.end(), candidate.upstream)
+            == request.tried.end();
+}
+
+// Moves `count` random elements to the front.
+void sampleFront(std::vector<std::size_t> &indices, std::size_t count, Random &random)
+{
+    count = std::min(count, indices.size());
+    for (std::size_t place = 0; place < count; ++place)
+        std::swap(indices[place], indices[place + random.below(indices.size() - place)]);
+    indices.resize(count);
+}
+
+} // namespace
+
+Router::Router(const RouterSettings &settings, const CostModel &costModel, const LoadView &loadView,
+               const PrefixIndex &prefixIndex)
+    : m_settings(settings)
+    , m_costModel(costModel)
+    , m_loadView(loadView)
+    , m_prefixIndex(prefixIndex)
+{ }
+
+std::optional<Router::Scored> Router::score(const RouteRequest &request, const Candidate &candidate,
+                                            std::int64_t cachedTokens, TimePoint now) const
+{
+    const UpstreamLoad load = m_loadView.load(candidate.upstream, now);
+    if (!load.accepting)
+        return std::nullopt;
+    Scored scored;
+    RouteDecision &decision = scored.decision;
+    decision.upstream = candidate.upstream;
+    decision.cachedTokens = cachedTokens;
+    decision.cost = m_costModel.predict(candidate.upstream, request.model, request.promptTokens,
+                                        cachedTokens, request.outputTokens);
+    const bool isShort = request.promptTokens - cachedTokens <= shortPromptTokens;
+    const double backlog = isShort ? load.shortWaitSeconds : load.totalWaitSeconds;
+    decision.waitSeconds = backlog + load.stepSeconds / 2; // New work joins at the next step.
+    scored.score = decision.waitSeconds + decision.cost.prefillSeconds;
+    decision.firstTokenSeconds =
+            scored.score + m_settings.distanceSeconds[static_cast<std::size_t>(candidate.distance)];
+    scored.score += interferenceSeconds(decision.cost, load, isShort);
+    const double memoryShare = isShort ? m_settings.memoryShare : m_settings.longMemoryShare;
+    const auto capacity = static_cast<double>(load.kvCapacity);
+    scored.capacity = static_cast<std::int64_t>(memoryShare * capacity);
+    scored.fits = static_cast<double>(decision.cost.kvTokens)
+            <= static_cast<double>(load.kvFree) - (1 - memoryShare) * capacity;
+    return scored;
+}
+
+double Router::interferenceSeconds(const PredictedCost &cost, const UpstreamLoad &load,
+                                   bool isShort) const
+{
+    if (m_settings.objective != Objective::ShortSlowdown)
+        return 0;
+    if (!isShort)
+        return m_settings.interference * m_settings.harmWeight * cost.prefillSeconds
+                * static_cast<double>(load.requests);
+    // Decoding beside a long prefill takes longer until either of the two ends.
+    const double longSeconds = load.totalWaitSeconds - load.shortWaitSeconds;
+    const double decodeSeconds = cost.decodeSeconds / std::max(0.1, 1 - m_settings.interference);
+    return m_settings.interference * std::min(longSeconds, decodeSeconds);
+}
+
+std::optional<Router::Scored> Router::bestOf(const RouteRequest &request,
+                                             std::span<const Candidate> candidates,
+                                             const Indices &indices, TimePoint now) const
+{
+    std::optional<Scored> best;
+    std::int64_t capacity = 0;
+    for (const std::size_t index : indices) {
+        std::optional<Scored> scored = score(request, candidates[index], 0, now);
+        if (!scored)
+            continue;
+        capacity = std::max(capacity, scored->capacity);
+        const auto key = [](const Scored &other) { return std::pair(!other.fits, other.score); };
+        if (!best || key(*scored) < key(*best))
+            best = std::move(scored);
+    }
+    if (best)
+        best->capacity = capacity;
+    return best;
+}
+
+double Router::longShare() const
+{
+    const double demand = m_settings.shortHeadroom * m_shortDemand + m_longDemand;
+    return demand > 0 ? m_longDemand / demand : 0;
+}
+
+void Router::recordDemand(const RouteRequest &request, std::span<const Candidate> candidates,
+                          TimePoint now)
+{
+    if (candidates.empty())
+        return;
+    constexpr double memorySeconds = 120; // Long prompts are rare; less would follow single ones.
+    const double elapsed = std::chrono::duration<double>(now - m_demandAt).count();
+    const double keep = std::exp(-std::max(0.0, elapsed) / memorySeconds);
+    m_demandAt = now;
+    m_shortDemand *= keep;
+    m_longDemand *= keep;
+    const double seconds =
+            m_costModel
+                    .predict(candidates.front().upstream, request.model, request.promptTokens, 0, 0)
+                    .prefillSeconds;
+    (request.promptTokens <= shortPromptTokens ? m_shortDemand : m_longDemand) += seconds;
+}
+
+std::vector<bool> Router::preferredForLong(std::span<const Candidate> candidates) const
+{
+    // All entries order the upstreams by the same hash, so that they agree without messages.
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    order.reserve(candidates.size());
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const std::string &upstream = candidates[index].upstream;
+        order.emplace_back(XXH3_64bits(upstream.data(), upstream.size()), index);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<bool> preferred(candidates.size(), false);
+    const auto count = std::llround(longShare() * static_cast<double>(candidates.size()));
+    for (std::size_t place = 0; place < static_cast<std::size_t>(count); ++place)
+        preferred[order[place].second] = true;
+    return preferred;
+}
+
+std::vector<Router::Group> Router::groups(const RouteRequest &request,
+                                          std::span<const Candidate> candidates, bool isShort,
+                                          Random &random) const
+{
+    const bool pools = m_settings.usePools && m_settings.objective == Objective::ShortSlowdown;
+    const std::vector<bool> forLong =
+            pools ? preferredForLong(candidates) : std::vector<bool>(candidates.size(), !isShort);
+    double crossing = m_settings.shortCrossingSeconds;
+    if (!isShort && !candidates.empty())
+        crossing = m_settings.longCrossingFactor
+                * m_costModel
+                          .predict(candidates.front().upstream, request.model, request.promptTokens,
+                                   0, 0)
+                          .prefillSeconds;
+    std::vector<Group> result(6);
+    for (std::size_t distance = 0; distance < 3; ++distance) {
+        result[2 * distance].extraSeconds = m_settings.distanceSeconds[distance];
+        result[2 * distance + 1].extraSeconds = m_settings.distanceSeconds[distance] + crossing;
+    }
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const Candidate &candidate = candidates[index];
+        if (!mayUse(request, candidate)
+            || (candidate.share < 1 && random.unit() >= candidate.share))
+            continue;
+        const std::size_t crosses = forLong[index] == isShort ? 1 : 0;
+        result[2 * static_cast<std::size_t>(candidate.distance) + crosses].indices.push_back(index);
+    }
+    std::stable_sort(result.begin(), result.end(), [](const Group &left, const Group &right) {
+        return left.extraSeconds < right.extraSeconds;
+    });
+    return result;
+}
+
+std::optional<Router::Scored> Router::bestSampled(const RouteRequest &request,
+                                                  std::span<const Candidate> candidates,
+                                                  TimePoint now, Random &random) const
+{
+    const bool isShort = request.promptTokens <= shortPromptTokens;
+    std::optional<Scored> best;
+    for (Group &group : groups(request, candidates, isShort, random)) {
+        // A farther or less suitable group pays off only if it saves more waiting than it costs.
+        if (best && best->fits && best->decision.waitSeconds <= group.extraSeconds)
+            break;
+        sampleFront(group.indices, m_settings.samples, random);
+        std::optional<Scored> other = bestOf(request, candidates, group.indices, now);
+        if (!other)
+            continue;
+        other->score += group.extraSeconds;
+        if (!best || std::pair(!other->fits, other->score) < std::pair(!best->fits, best->score))
+            best = std::move(other);
+    }
+    if (best && best->fits)
+        return best;
+    Indices all;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        if (mayUse(request, candidates[index]))
+            all.push_back(index);
+    }
+    return bestOf(request, candidates, all, now);
+}
+
+std::optional<Router::Scored> Router::bestHolder(const RouteRequest &request,
+                                                 std::span<const Candidate> candidates,
+                                                 TimePoint now) const
+{
+    std::optional<Scored> best;
+    for (const PrefixHolder &holder : m_prefixIndex.find(request.prefix, now)) {
+        const auto candidate = std::find_if(
+                candidates.begin(), candidates.end(),
+                [&holder](const Candidate &other) { return other.upstream == holder.upstream; });
+        if (candidate == candidates.end() || candidate->share < 1 || !mayUse(request, *candidate))
+            continue;
+        std::optional<Scored> scored = score(request, *candidate, holder.tokens, now);
+        if (scored)
+            scored->score = scored->decision.firstTokenSeconds;
+        if (scored && scored->fits && (!best || scored->score < best->score))
+            best = std::move(scored);
+    }
+    return best;
+}
+
+RouteDecision Router::choose(const RouteRequest &request, std::span<const Candidate> candidates,
+                             TimePoint now, Random &random)
+{
+    recordDemand(request, candidates, now);
+    std::optional<Scored> best = bestSampled(request, candidates, now, random);
+    if (!best)
+        return {};
+    if (!best->fits) {
+        RouteDecision refused;
+        refused.refusal = RefusalReason::UpstreamMemory;
+        refused.cost = best->decision.cost;
+        refused.largestCapacity = best->capacity;
+        return refused;
+    }
+    if (m_settings.useAffinity && !request.prefix.empty()) {
+        std::optional<Scored> holder = bestHolder(request, candidates, now);
+        const double limit = best->decision.waitSeconds + m_settings.affinityLimitSeconds;
+        if (holder && holder->score < best->score && holder->decision.waitSeconds <= limit)
+            return holder->decision;
+    }
+    return best->decision;
+}
+
+std::vector<std::string> Router::chooseGroup(const RouteRequest &request,
+                                             std::span<const Candidate> candidates, TimePoint now,
+                                             std::size_t maximumEngines) const
+{
+    const std::int64_t needed = request.promptTokens + request.outputTokens;
+    for (int distance = 0; distance < 3; ++distance) {
+        std::vector<std::pair<std::int64_t, std::string>> engines;
+        for (const Candidate &candidate : candidates) {
+            const UpstreamLoad load = m_loadView.load(candidate.upstream, now);
+            const auto free = static_cast<std::int64_t>(static_cast<double>(load.kvFree)
+                                                        * m_settings.memoryShare);
+            if (candidate.distance <= distance && mayUse(request, candidate) && load.accepting
+                && free > 0)
+                engines.emplace_back(free, candidate.upstream);
+        }
+        std::sort(engines.begin(), engines.end(), std::greater<> {});
+        const std::size_t most = std::min(maximumEngines, engines.size());
+        for (std::size_t count = 2; count <= most; ++count) {
+            const auto parts = static_cast<std::int64_t>(count);
+            if (engines[count - 1].first < (needed + parts - 1) / parts)
+                continue;
+            std::vector<std::string> group;
+            for (std::size_t place = 0; place < count; ++place)
+                group.push_back(engines[place].second);
+            std::sort(group.begin(), group.end());
+            return group;
+        }
+    }
+    return {};
+}
+
+double fleetPressure(const LoadView &loadView, std::span<const Candidate> candidates,
+                     double referenceSeconds, TimePoint now)
+{
+    double backlog = 0;
+    int known = 0;
+    for (const Candidate &candidate : candidates) {
+        const UpstreamLoad load = loadView.load(candidate.upstream, now);
+        if (!candidate.usable || !load.accepting)
+            continue;
+        backlog += load.totalWaitSeconds;
+        ++known;
+    }
+    return known == 0 ? 0 : backlog / (known * referenceSeconds);
+}
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Routing/Router.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "lavenderpick/Routing/RoutingPolicy.h"
+
+#include <array>
+
+namespace Lavenderpick {
+
+struct RouterSettings
+{
+    Objective objective { Objective::ShortSlowdown };
+    std::size_t samples { 4 }; ///< Candidates compared per distance.
+    /// Round trips to the same zone, the same region and far regions.
+    std::array<double, 3> distanceSeconds { 0.0, 0.002, 0.08 };
+    /// A prefix holder may be busier than the best other candidate by at most this time.
+    double affinityLimitSeconds { 1.0 };
+    double memoryShare { 0.95 };    ///< Of the KV memory that may be planned for.
+    double longMemoryShare { 0.8 }; ///< Of the KV memory, that long prompts may plan for.
+    bool useAffinity { true };
+    bool usePools { true };
+    /// With the objective short_slowdown, a short prompt goes to an engine that is preferred for
+    /// long ones when this saves more than the time that their prefill steps cost it.
+    double shortCrossingSeconds { 0.1 };
+    /// A long prompt goes to an engine preferred for short ones when this saves more than its own
+    /// prefill time multiplied by this factor.
+    double longCrossingFactor { 1 };
+    /// Engine time planned for a second of short prefill over that for a second of long prefill:
+    /// short requests are only fast on engines with idle time.
+    double shortHeadroom { 2 };
+    /// With the objective short_slowdown: part of the time of a long prefill by which it delays
+    /// each request that decodes on the same engine.
+    double interference { 0.6 };
+    /// Weight of the delay that a long prompt causes to one running request.
+    double harmWeight { 0.1 };
+};
+
+/// The policy of section 6 of the design page. Not safe for concurrent use.
+class Router final : public RoutingPolicy
+{
+public:
+    Router(const RouterSettings &settings, const CostModel &costModel, const LoadView &loadView,
+           const PrefixIndex &prefixIndex);
+
+    RouteDecision choose(const RouteRequest &request, std::span<const Candidate> candidates,
+                         TimePoint now, Random &random) override;
+
+    /// Engines for a prompt that needs more memory than one has (P1): the fewest, nearest first,
+    /// that can each take an equal part, in ascending upstream name. Empty when there are not
+    /// enough.
+    std::vector<std::string> chooseGroup(const RouteRequest &request,
+                                         std::span<const Candidate> candidates, TimePoint now,
+                                         std::size_t maximumEngines) const;
+
+    /// Share of the engines that long prompts prefer, as it follows from recent demand.
+    double longShare() const;
+
+    void setObjective(Objective objective) { m_settings.objective = objective; }
+
+private:
+    struct Scored
+    {
+        RouteDecision decision;
+        double score { 0 };
+        bool fits { false };
+        std::int64_t capacity { 0 };
+    };
+    using Indices = std::vector<std::size_t>;
+    /// Candidates of one distance that are preferred for the request's length, or not.
+    struct Group
+    {
+        double extraSeconds { 0 }; ///< Cost of distance and of crossing.
+        Indices indices;
+    };
+
+    std::optional<Scored> score(const RouteRequest &request, const Candidate &candidate,
+                                std::int64_t cachedTokens, TimePoint now) const;
+    double interferenceSeconds(const PredictedCost &cost, const UpstreamLoad &load,
+                               bool isShort) const;
+    std::optional<Scored> bestOf(const RouteRequest &request, std::span<const Candidate> candidates,
+                                 const Indices &indices, TimePoint now) const;
+    std::vector<Group> groups(const RouteRequest &request, std::span<const Candidate> candidates,
+                              bool isShort, Random &random) const;
+    std::vector<bool> preferredForLong(std::span<const Candidate> candidates) const;
+    void recordDemand(const RouteRequest &request, std::span<const Candidate> candidates,
+                      TimePoint now);
+    std::optional<Scored> bestSampled(const RouteRequest &request,
+                                      std::span<const Candidate> candidates, TimePoint now,
+                                      Random &random) const;
+    std::optional<Scored> bestHolder(const RouteRequest &request,
+                                     std::span<const Candidate> candidates, TimePoint now) const;
+
+    RouterSettings m_settings;
+    const CostModel &m_costModel;
+    const LoadView &m_loadView;
+    const PrefixIndex &m_prefixIndex;
+    double m_shortDemand { 0 }; ///< Prefill seconds, exponentially averaged.
+    double m_longDemand { 0 };
+    TimePoint m_demandAt {};
+};
+
+/// Mean prefill backlog of the usable candidates over `referenceSeconds`: 1 is as much work as the
+/// fleet should hold. Pass it to `Admission::setPressure` and `CustomerBudgets::adjustLending`.
+double fleetPressure(const LoadView &loadView, std::span<const Candidate> candidates,
+                     double referenceSeconds, TimePoint now);
+
+} // namespace Lavenderpick
