Document: Apply several changes with one copy of each section

A replica applied each change of a message with a copy of its section and held the lock that every request takes to read the document. In a trial with 6,700 customers, 500 changes took 362 ms one by one; a node that catches up would have stopped all its requests for that long. `applyAll` copies a section once, which took 5 ms, and the copies are now made outside that lock. Holding one lock and applying in smaller groups was ruled out, since a single copy already takes a millisecond.

--- a/Libraries/LibDocument/Document.cpp
+++ b/Libraries/LibDocument/Document.cpp
@@ -44,6 +44,18 @@
     return section;
 }
 
+void applyTo(DocumentSection &section, const DocumentChange &change)
+{
+    section.version = change.version;
+    for (const auto &[name, value] : change.entries) {
+        if (value.is_null())
+            section.entries.erase(name);
+        else
+            section.entries[name] = { change.version,
+                                      std::make_shared<const nlohmann::json>(value) };
+    }
+}
+
 std::string digestOf(std::int64_t version, const nlohmann::json &sections)
 {
     return sha256(std::to_string(version) + "\n" + sections.dump());
@@ -72,23 +84,27 @@
 
 Document Document::apply(const DocumentChange &change) const
 {
-    if (change.version != m_version + 1)
-        throw Error(ErrorKind::Conflict,
-                    "Change " + std::to_string(change.version) + " does not follow version "
-                            + std::to_string(m_version),
-                    "Fetch the changes in between.");
-    DocumentSection section = this->section(change.section);
-    section.version = change.version;
-    for (const auto &[name, value] : change.entries) {
-        if (value.is_null())
-            section.entries.erase(name);
-        else
-            section.entries[name] = { change.version,
-                                      std::make_shared<const nlohmann::json>(value) };
-    }
+    return applyAll({ change });
+}
+
+Document Document::applyAll(const std::vector<DocumentChange> &changes) const
+{
     Document next = *this;
-    next.m_version = change.version;
-    next.m_sections[change.section] = std::make_shared<const DocumentSection>(std::move(section));
+    std::map<std::string, std::shared_ptr<DocumentSection>> touched;
+    for (const DocumentChange &change : changes) {
+        if (change.version != next.m_version + 1)
+            throw Error(ErrorKind::Conflict,
+                        "Change " + std::to_string(change.version) + " does not follow version "
+                                + std::to_string(next.m_version),
+                        "Fetch the changes in between.");
+        auto &section = touched[change.section];
+        if (!section)
+            section = std::make_shared<DocumentSection>(this->section(change.section));
+        applyTo(*section, change);
+        next.m_version = change.version;
+    }
+    for (auto &[name, section] : touched)
+        next.m_sections[name] = std::move(section);
     return next;
 }
 
--- a/Libraries/LibDocument/DocumentReplica.cpp
+++ b/Libraries/LibDocument/DocumentReplica.cpp
@@ -59,7 +59,7 @@
     m_peersAsked = true;
 }
 
-DocumentChange DocumentReplica::visible(const DocumentChange &change, DocumentView view) const
+DocumentChange DocumentReplica::visible(const DocumentChange &change, DocumentView view)
 {
     DocumentChange result = change;
     if (view == DocumentView::WithoutKeys && holdsKeys(change.section))
@@ -67,41 +67,47 @@
     return result;
 }
 
+// Copying a section of thousands of entries takes milliseconds, so it happens outside `m_mutex`.
 OfferResult DocumentReplica::offerChanges(const std::vector<DocumentChange> &changes,
                                           DocumentSource source)
 {
-    const std::lock_guard lock(m_mutex);
-    Document next = *m_current;
+    const std::lock_guard offerLock(m_offerMutex);
+    const std::shared_ptr<const Document> present = current();
+    std::vector<DocumentChange> next;
     bool gap = false;
     for (const DocumentChange &change : changes) {
-        if (change.version <= next.version())
+        const std::int64_t reached = present->version() + static_cast<std::int64_t>(next.size());
+        if (change.version <= reached)
             continue;
-        gap = change.version != next.version() + 1;
+        gap = change.version != reached + 1;
         if (gap)
             break;
-        const DocumentChange kept = visible(change, m_view);
-        next = next.apply(kept);
-        remember(kept);
+        next.push_back(visible(change, m_view));
+    }
+    if (!next.empty()) {
+        auto document = std::make_shared<const Document>(present->applyAll(next));
+        const std::lock_guard lock(m_mutex);
+        for (const DocumentChange &change : next)
+            remember(change);
+        accept(std::move(document), source);
     }
-    const bool moved = next.version() > m_current->version();
-    if (moved)
-        accept(std::make_shared<const Document>(std::move(next)), source);
     if (gap)
         return OfferResult::Gap;
-    return moved ? OfferResult::Applied : OfferResult::NotNewer;
+    return next.empty() ? OfferResult::NotNewer : OfferResult::Applied;
 }
 
 OfferResult DocumentReplica::offerDocument(const Document &document, DocumentSource source)
 {
-    const std::lock_guard lock(m_mutex);
-    if (document.version() <= m_current->version())
+    const std::lock_guard offerLock(m_offerMutex);
+    if (document.version() <= version())
         return OfferResult::NotNewer;
+    auto next = std::make_shared<const Document>(
+            m_view == DocumentView::WithoutKeys ? document.withoutSections(sectionsWithKeys())
+                                                : document);
+    const std::lock_guard lock(m_mutex);
     m_recent.clear();
     m_recentBytes = 0;
-    accept(std::make_shared<const Document>(m_view == DocumentView::WithoutKeys
-                                                    ? document.withoutSections(sectionsWithKeys())
-                                                    : document),
-           source);
+    accept(std::move(next), source);
     return OfferResult::Applied;
 }
 
@@ -117,23 +123,25 @@
 
 nlohmann::json DocumentReplica::toMessage(std::int64_t since, DocumentView view) const
 {
-    const std::lock_guard lock(m_mutex);
     if (m_view == DocumentView::WithoutKeys && view == DocumentView::Whole)
         throw Error(ErrorKind::NotFound, "This process keeps a part of the document only",
                     "Ask an entry.");
-    const std::int64_t version = m_current->version();
-    const bool reachesBack =
-            since >= version || (!m_recent.empty() && m_recent.front().change.version <= since + 1);
-    if (!reachesBack)
-        return (view == DocumentView::WithoutKeys ? m_current->withoutSections(sectionsWithKeys())
-                                                  : *m_current)
+    std::unique_lock lock(m_mutex);
+    const std::shared_ptr<const Document> document = m_current;
+    const bool reachesBack = since >= document->version()
+            || (!m_recent.empty() && m_recent.front().change.version <= since + 1);
+    if (!reachesBack) {
+        lock.unlock();
+        return (view == DocumentView::WithoutKeys ? document->withoutSections(sectionsWithKeys())
+                                                  : *document)
                 .toJson();
+    }
     nlohmann::json changes = nlohmann::json::array();
     for (const RecentChange &recent : m_recent) {
         if (recent.change.version > since)
             changes.push_back(visible(recent.change, view).toJson());
     }
-    return { { "version", version }, { "changes", std::move(changes) } };
+    return { { "version", document->version() }, { "changes", std::move(changes) } };
 }
 
 void DocumentReplica::confirmHead(std::int64_t headVersion, TimePoint readAt)
--- a/Libraries/LibDocument/DocumentStore.cpp
+++ b/Libraries/LibDocument/DocumentStore.cpp
@@ -42,13 +42,6 @@
     return entry == nullptr ? 0 : entry->version;
 }
 
-Document applyAll(Document document, const std::vector<DocumentChange> &changes)
-{
-    for (const DocumentChange &change : changes)
-        document = document.apply(change);
-    return document;
-}
-
 } // namespace
 
 DocumentStore::DocumentStore(Table &table, ObjectStore &objects, Random &random, const Clock &clock,
@@ -129,13 +122,13 @@
                     "No whole snapshot can be read and the log starts after version "
                             + std::to_string(document.version()),
                     "Fetch the document from a running entry.");
-    return applyAll(std::move(document), *changes);
+    return document.applyAll(*changes);
 }
 
 Document DocumentStore::catchUp(Document document)
 {
     const auto changes = changesSince(document.version());
-    return changes ? applyAll(std::move(document), *changes) : load();
+    return changes ? document.applyAll(*changes) : load();
 }
 
 void DocumentStore::refresh(DocumentReplica &replica)
--- a/Tests/LibDocument/TestDocumentReplica.cpp
+++ b/Tests/LibDocument/TestDocumentReplica.cpp
@@ -169,3 +169,30 @@
     BOOST_CHECK_THROW(ahead.offerMessage({ { "version", 9 } }, DocumentSource::Peer), Error);
     BOOST_TEST(ahead.version() == 6);
 }
+
+// Guards against a section of the target size that is too large for a message or a change, or that
+// makes each of 29,000 changes a day as slow as a whole copy of the document.
+BOOST_AUTO_TEST_CASE(documents_of_the_target_size_are_replicated)
+{
+    constexpr int customers = 6'700;
+    constexpr int changesToApply = 500;
+    const ManualClock clock;
+    DocumentReplica entry(clock);
+    DocumentChange first { .version = 1, .section = "customers", .token = "t" };
+    for (int index = 0; index < customers; ++index)
+        first.entries["customer-" + std::to_string(index)] = sampleCustomer();
+    entry.offerChanges({ first }, DocumentSource::Store);
+    const std::string message = entry.toMessage(-1, DocumentView::Whole).dump();
+    BOOST_TEST_MESSAGE("whole document: " << message.size() << " bytes");
+    DocumentReplica peer(clock);
+    peer.offerMessage(nlohmann::json::parse(message), DocumentSource::Peer);
+    const std::vector<DocumentChange> log = changes(2, changesToApply + 1);
+    const auto start = std::chrono::steady_clock::now();
+    peer.offerChanges(log, DocumentSource::Peer);
+    const auto took = std::chrono::steady_clock::now() - start;
+    BOOST_TEST_MESSAGE("500 changes at once: " << toMilliseconds(took) << " ms");
+    entry.offerChanges(log, DocumentSource::Peer);
+    BOOST_TEST((*peer.current() == *entry.current()));
+    // Applied one by one, each with its copy of the section, they took 362 ms; at once, 5 ms.
+    BOOST_TEST(toMilliseconds(took) < 200);
+}
--- a/Tests/StandIns/ServerCommands.cpp
+++ b/Tests/StandIns/ServerCommands.cpp
@@ -11,17 +11,6 @@
 
 namespace {
 
-// Threads inherit the mask, so that only the main thread receives the signals.
-sigset_t blockSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    return signals;
-}
-
 template <typename Make>
 int runServer(int argc, char **argv, cxxopts::Options &options, Make make)
 try {
@@ -32,7 +21,12 @@
         std::cout << options.help() << '\n';
         return 0;
     }
-    const sigset_t signals = blockSignals();
+    // Threads inherit the mask, so that only this thread receives the signals.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     const auto server = make(arguments);
     std::cout << "listening on 127.0.0.1:" << server->start(arguments["port"].template as<int>())
               << std::endl;
--- a/Tests/StandIns/ServerFaults.cpp
+++ b/Tests/StandIns/ServerFaults.cpp
@@ -40,33 +40,23 @@
     });
 }
 
-ServerFaults::Settings ServerFaults::begin(Access access)
-{
-    const std::lock_guard lock(m_mutex);
-    ++(access == Access::Read ? m_reads : m_writes);
-    return m_settings;
-}
-
-bool ServerFaults::takeLostAnswer()
-{
-    const std::lock_guard lock(m_mutex);
-    if (m_settings.loseAnswers == 0)
-        return false;
-    --m_settings.loseAnswers;
-    return true;
-}
-
 httplib::Server::Handler ServerFaults::wrap(Access access, httplib::Server::Handler handler)
 {
     return [this, access, handler = std::move(handler)](const httplib::Request &request,
                                                         httplib::Response &response) {
-        const Settings settings = begin(access);
+        std::unique_lock lock(m_mutex);
+        ++(access == Access::Read ? m_reads : m_writes);
+        const Settings settings = m_settings;
+        lock.unlock();
         std::this_thread::sleep_for(std::chrono::milliseconds(settings.slowMilliseconds));
         if (settings.down)
             return answerJson(response, 503, nlohmann::json::object());
         handler(request, response);
-        if (access == Access::Write && takeLostAnswer())
-            breakConnection(response);
+        lock.lock();
+        if (access == Access::Read || m_settings.loseAnswers == 0)
+            return;
+        --m_settings.loseAnswers;
+        breakConnection(response);
     };
 }
 
--- a/Tests/StandIns/ServerFaults.h
+++ b/Tests/StandIns/ServerFaults.h
@@ -33,9 +33,6 @@
         int loseAnswers { 0 };
     };
 
-    Settings begin(Access access);
-    bool takeLostAnswer();
-
     std::mutex m_mutex;
     Settings m_settings;
     std::int64_t m_reads { 0 };
--- a/include/lavenderpick/Document/Document.h
+++ b/include/lavenderpick/Document/Document.h
@@ -47,6 +47,9 @@
     /// one, so that no change is skipped or applied twice.
     Document apply(const DocumentChange &change) const;
 
+    /// The version after several changes in order; copies each section that they touch once.
+    Document applyAll(const std::vector<DocumentChange> &changes) const;
+
     /// This version with the sections emptied; their versions stay.
     Document withoutSections(const std::vector<std::string> &names) const;
 
--- a/include/lavenderpick/Document/DocumentReplica.h
+++ b/include/lavenderpick/Document/DocumentReplica.h
@@ -73,7 +73,7 @@
     void accept(std::shared_ptr<const Document> document, DocumentSource source);
     void remember(const DocumentChange &change);
     void settleConfirmation();
-    DocumentChange visible(const DocumentChange &change, DocumentView view) const;
+    static DocumentChange visible(const DocumentChange &change, DocumentView view);
 
     struct RecentChange
     {
@@ -83,7 +83,9 @@
 
     const Clock &m_clock;
     const DocumentView m_view;
-    mutable std::mutex m_mutex;
+    std::mutex m_offerMutex; ///< Held by one offer at a time, before `m_mutex`.
+    mutable std::mutex
+            m_mutex; ///< Guards what follows; held for short, since requests wait for it.
     std::shared_ptr<const Document> m_current;
     std::deque<RecentChange> m_recent; ///< Changes up to the present version, without gaps.
     std::size_t m_recentBytes { 0 };
