LibRouting: Confine long prompts to engines that reports show as occupied

Cause: a short request that decodes beside a long prefill takes up to three times as long, so its p95 slowdown stayed near 2.9 at 80% load whatever the choice by predicted first token. Ruled out: pools sized by each entry's own demand (with 60 entries each sees too few long prompts: 2.97), a penalty for predicted interference (no effect beyond noise), crossing for memory (2.0). Change: all entries derive the share of engines preferred for long prompts from the same load reports; prompts over 100,000 tokens wait for memory there; prefix holders in the other pool are not used.

--- a/Libraries/LibRouting/LoadView.cpp
+++ b/Libraries/LibRouting/LoadView.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Short prompts alone rarely fill more of an engine's KV memory.
+constexpr double longMemoryShare = 0.3;
+
 double secondsBetween(TimePoint from, TimePoint to)
 {
     return std::max(0.0, std::chrono::duration<double>(to - from).count());
@@ -36,6 +39,7 @@
     const std::int64_t shortBacklog = report.shortBacklog < 0
             ? report.prefillBacklog
             : std::min(report.shortBacklog, report.prefillBacklog);
+    recordOccupancy(report, shortBacklog);
     state.totalBacklogSeconds = perToken * static_cast<double>(report.prefillBacklog);
     state.shortBacklogSeconds = perToken * static_cast<double>(shortBacklog);
 }
@@ -46,6 +50,16 @@
     m_states[upstream].sent.push_back({ attemptId, cost, now, shortPrompt });
 }
 
+void LoadView::recordOccupancy(const LoadReport &report, std::int64_t shortBacklog)
+{
+    constexpr double memoryReports = 60; // Of each upstream; long prompts take tens of seconds.
+    const bool prefills = report.prefillBacklog > shortBacklog;
+    const bool holds = static_cast<double>(report.kvUsed)
+            > longMemoryShare * static_cast<double>(report.kvCapacity);
+    const double learned = 1 / (memoryReports * static_cast<double>(m_states.size()));
+    m_longOccupancy += learned * ((prefills || holds ? 1.0 : 0.0) - m_longOccupancy);
+}
+
 std::deque<LoadView::Sent>::iterator LoadView::find(State &state, const std::string &attemptId)
 {
     return std::find_if(state.sent.begin(), state.sent.end(),
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -24,6 +24,27 @@
     indices.resize(count);
 }
 
+using FreeEngine = std::pair<std::int64_t, std::string>; // Free KV tokens and upstream.
+
+// The fewest engines that can each take an equal part, in ascending name.
+std::vector<std::string> smallestGroup(std::vector<FreeEngine> &engines, std::int64_t tokens,
+                                       std::size_t maximumEngines)
+{
+    std::sort(engines.begin(), engines.end(), std::greater<> {});
+    const std::size_t most = std::min(maximumEngines, engines.size());
+    std::vector<std::string> group;
+    for (std::size_t count = 2; count <= most; ++count) {
+        const auto parts = static_cast<std::int64_t>(count);
+        if (engines[count - 1].first < (tokens + parts - 1) / parts)
+            continue;
+        for (std::size_t place = 0; place < count; ++place)
+            group.push_back(engines[place].second);
+        std::sort(group.begin(), group.end());
+        return group;
+    }
+    return group;
+}
+
 } // namespace
 
 Router::Router(const RouterSettings &settings, const CostModel &costModel, const LoadView &loadView,
@@ -46,13 +67,12 @@
     decision.cachedTokens = cachedTokens;
     decision.cost = m_costModel.predict(candidate.upstream, request.model, request.promptTokens,
                                         cachedTokens, request.outputTokens);
-    const bool isShort = request.promptTokens - cachedTokens <= shortPromptTokens;
-    const double backlog = isShort ? load.shortWaitSeconds : load.totalWaitSeconds;
-    decision.waitSeconds = backlog + load.stepSeconds / 2; // New work joins at the next step.
+    const int rank = lengthRank(request.promptTokens - cachedTokens);
+    const bool isShort = rank == 0;
+    decision.waitSeconds = waitSeconds(decision.cost, load, rank);
     scored.score = decision.waitSeconds + decision.cost.prefillSeconds;
     decision.firstTokenSeconds =
             scored.score + m_settings.distanceSeconds[static_cast<std::size_t>(candidate.distance)];
-    scored.score += interferenceSeconds(decision.cost, load, isShort);
     const double memoryShare = isShort ? m_settings.memoryShare : m_settings.longMemoryShare;
     const auto capacity = static_cast<double>(load.kvCapacity);
     scored.capacity = static_cast<std::int64_t>(memoryShare * capacity);
@@ -61,18 +81,16 @@
     return scored;
 }
 
-double Router::interferenceSeconds(const PredictedCost &cost, const UpstreamLoad &load,
-                                   bool isShort) const
+double Router::waitSeconds(const PredictedCost &cost, const UpstreamLoad &load, int rank) const
 {
-    if (m_settings.objective != Objective::ShortSlowdown)
-        return 0;
-    if (!isShort)
-        return m_settings.interference * m_settings.harmWeight * cost.prefillSeconds
-                * static_cast<double>(load.requests);
-    // Decoding beside a long prefill takes longer until either of the two ends.
-    const double longSeconds = load.totalWaitSeconds - load.shortWaitSeconds;
-    const double decodeSeconds = cost.decodeSeconds / std::max(0.1, 1 - m_settings.interference);
-    return m_settings.interference * std::min(longSeconds, decodeSeconds);
+    const double longSeconds = std::max(0.0, load.totalWaitSeconds - load.shortWaitSeconds);
+    double backlog = load.shortWaitSeconds;
+    // Reports do not tell medium from long work; a medium prompt waits for few of its own kind.
+    if (rank == 1)
+        backlog += std::min(longSeconds, cost.prefillSeconds);
+    if (rank == 2)
+        backlog += longSeconds;
+    return backlog + load.stepSeconds / 2; // New work joins at the next step.
 }
 
 std::optional<Router::Scored> Router::bestOf(const RouteRequest &request,
@@ -95,28 +113,15 @@
     return best;
 }
 
-double Router::longShare() const
+bool Router::usesPools() const
 {
-    const double demand = m_settings.shortHeadroom * m_shortDemand + m_longDemand;
-    return demand > 0 ? m_longDemand / demand : 0;
+    return m_settings.usePools && m_settings.objective == Objective::ShortSlowdown;
 }
 
-void Router::recordDemand(const RouteRequest &request, std::span<const Candidate> candidates,
-                          TimePoint now)
+double Router::longShare() const
 {
-    if (candidates.empty())
-        return;
-    constexpr double memorySeconds = 120; // Long prompts are rare; less would follow single ones.
-    const double elapsed = std::chrono::duration<double>(now - m_demandAt).count();
-    const double keep = std::exp(-std::max(0.0, elapsed) / memorySeconds);
-    m_demandAt = now;
-    m_shortDemand *= keep;
-    m_longDemand *= keep;
-    const double seconds =
-            m_costModel
-                    .predict(candidates.front().upstream, request.model, request.promptTokens, 0, 0)
-                    .prefillSeconds;
-    (request.promptTokens <= shortPromptTokens ? m_shortDemand : m_longDemand) += seconds;
+    return std::min(m_settings.maximumLongShare,
+                    m_settings.longHeadroom * m_loadView.longOccupancy());
 }
 
 std::vector<bool> Router::preferredForLong(std::span<const Candidate> candidates) const
@@ -154,6 +159,7 @@
     for (std::size_t distance = 0; distance < 3; ++distance) {
         result[2 * distance].extraSeconds = m_settings.distanceSeconds[distance];
         result[2 * distance + 1].extraSeconds = m_settings.distanceSeconds[distance] + crossing;
+        result[2 * distance + 1].crosses = true;
     }
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const Candidate &candidate = candidates[index];
@@ -173,13 +179,19 @@
                                                   std::span<const Candidate> candidates,
                                                   TimePoint now, Random &random) const
 {
-    const bool isShort = request.promptTokens <= shortPromptTokens;
+    const int rank = lengthRank(request.promptTokens);
+    const bool confined = usesPools() && rank == 2;
     std::optional<Scored> best;
-    for (Group &group : groups(request, candidates, isShort, random)) {
+    Indices all;
+    for (Group &group : groups(request, candidates, rank == 0, random)) {
+        // A long prompt waits for memory on a preferred engine rather than slow down short ones.
+        if (confined && group.crosses && !all.empty())
+            continue;
         // A farther or less suitable group pays off only if it saves more waiting than it costs.
         if (best && best->fits && best->decision.waitSeconds <= group.extraSeconds)
             break;
-        sampleFront(group.indices, m_settings.samples, random);
+        all.insert(all.end(), group.indices.begin(), group.indices.end());
+        sampleFront(group.indices, rank == 0 ? m_settings.samples : m_settings.longSamples, random);
         std::optional<Scored> other = bestOf(request, candidates, group.indices, now);
         if (!other)
             continue;
@@ -187,14 +199,7 @@
         if (!best || std::pair(!other->fits, other->score) < std::pair(!best->fits, best->score))
             best = std::move(other);
     }
-    if (best && best->fits)
-        return best;
-    Indices all;
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        if (mayUse(request, candidates[index]))
-            all.push_back(index);
-    }
-    return bestOf(request, candidates, all, now);
+    return best && best->fits ? best : bestOf(request, candidates, all, now);
 }
 
 std::optional<Router::Scored> Router::bestHolder(const RouteRequest &request,
@@ -202,12 +207,17 @@
                                                  TimePoint now) const
 {
     std::optional<Scored> best;
+    const std::vector<bool> forLong = preferredForLong(candidates);
+    const bool isShort = request.promptTokens <= shortPromptTokens;
     for (const PrefixHolder &holder : m_prefixIndex.find(request.prefix, now)) {
         const auto candidate = std::find_if(
                 candidates.begin(), candidates.end(),
                 [&holder](const Candidate &other) { return other.upstream == holder.upstream; });
         if (candidate == candidates.end() || candidate->share < 1 || !mayUse(request, *candidate))
             continue;
+        const auto index = static_cast<std::size_t>(candidate - candidates.begin());
+        if (usesPools() && forLong[index] == isShort)
+            continue;
         std::optional<Scored> scored = score(request, *candidate, holder.tokens, now);
         if (scored)
             scored->score = scored->decision.firstTokenSeconds;
@@ -220,7 +230,6 @@
 RouteDecision Router::choose(const RouteRequest &request, std::span<const Candidate> candidates,
                              TimePoint now, Random &random)
 {
-    recordDemand(request, candidates, now);
     std::optional<Scored> best = bestSampled(request, candidates, now, random);
     if (!best)
         return {};
@@ -244,31 +253,31 @@
                                              std::span<const Candidate> candidates, TimePoint now,
                                              std::size_t maximumEngines) const
 {
+    const std::vector<bool> forLong =
+            usesPools() ? preferredForLong(candidates) : std::vector<bool>(candidates.size(), true);
+    std::array<std::vector<FreeEngine>, 3> byDistance; // Up to each distance, preferred engines.
+    std::vector<FreeEngine> all;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const Candidate &candidate = candidates[index];
+        const UpstreamLoad load = m_loadView.load(candidate.upstream, now);
+        if (!mayUse(request, candidate) || !load.accepting)
+            continue;
+        const auto free = static_cast<std::int64_t>(static_cast<double>(load.kvFree)
+                                                    * m_settings.memoryShare);
+        all.emplace_back(free, candidate.upstream);
+        for (int distance = candidate.distance; forLong[index] && distance < 3; ++distance)
+            byDistance[static_cast<std::size_t>(distance)].emplace_back(free, candidate.upstream);
+    }
     const std::int64_t needed = request.promptTokens + request.outputTokens;
-    for (int distance = 0; distance < 3; ++distance) {
-        std::vector<std::pair<std::int64_t, std::string>> engines;
-        for (const Candidate &candidate : candidates) {
-            const UpstreamLoad load = m_loadView.load(candidate.upstream, now);
-            const auto free = static_cast<std::int64_t>(static_cast<double>(load.kvFree)
-                                                        * m_settings.memoryShare);
-            if (candidate.distance <= distance && mayUse(request, candidate) && load.accepting
-                && free > 0)
-                engines.emplace_back(free, candidate.upstream);
-        }
-        std::sort(engines.begin(), engines.end(), std::greater<> {});
-        const std::size_t most = std::min(maximumEngines, engines.size());
-        for (std::size_t count = 2; count <= most; ++count) {
-            const auto parts = static_cast<std::int64_t>(count);
-            if (engines[count - 1].first < (needed + parts - 1) / parts)
-                continue;
-            std::vector<std::string> group;
-            for (std::size_t place = 0; place < count; ++place)
-                group.push_back(engines[place].second);
-            std::sort(group.begin(), group.end());
+    for (std::vector<FreeEngine> &engines : byDistance) {
+        std::vector<std::string> group = smallestGroup(engines, needed, maximumEngines);
+        if (!group.empty())
             return group;
-        }
     }
-    return {};
+    // The preferred engines become free in time, unless they are too few for this prompt.
+    const std::size_t preferred = byDistance.back().size();
+    return preferred < maximumEngines ? smallestGroup(all, needed, maximumEngines)
+                                      : std::vector<std::string> {};
 }
 
 double fleetPressure(const LoadView &loadView, std::span<const Candidate> candidates,
--- a/Services/Load/Arrivals.cpp
+++ b/Services/Load/Arrivals.cpp
@@ -6,12 +6,6 @@
 
 namespace Lavenderpick::Load {
 
-namespace {
-
-constexpr std::int64_t prefixTokensOfCustomer = 2'000;
-
-} // namespace
-
 Arrivals::Arrivals(const Experiment &experiment, double rate)
     : m_experiment(experiment)
     , m_random(experiment.seed)
@@ -21,6 +15,9 @@
         m_customerWeights.push_back(std::pow(number + 1.0, -experiment.customerSkew));
         m_weightSum += m_customerWeights.back();
     }
+    const double extra = m_customerWeights.front() * (experiment.floodFactor - 1);
+    m_rate *= 1 + extra / m_weightSum;
+    m_flood = extra / (m_weightSum + extra);
 }
 
 double Arrivals::customerShare(int customer) const
@@ -57,6 +54,8 @@
 
 int Arrivals::customer()
 {
+    if (m_flood > 0 && m_random.unit() < m_flood)
+        return 0;
     double choice = m_random.unit() * m_weightSum;
     int number = 0;
     while (number + 1 < m_experiment.customers
@@ -76,7 +75,7 @@
     const double output = -m_experiment.lengths.outputMean * std::log(1 - m_random.unit());
     arrival.outputTokens = std::max<std::int64_t>(1, static_cast<std::int64_t>(output));
     if (m_random.unit() < m_experiment.prefixShare)
-        arrival.prefixTokens = std::min(prefixTokensOfCustomer, arrival.promptTokens / 2);
+        arrival.prefixTokens = std::min(m_experiment.prefixTokens, arrival.promptTokens / 2);
     return arrival;
 }
 
--- a/Services/Load/Arrivals.h
+++ b/Services/Load/Arrivals.h
@@ -29,7 +29,7 @@
     /// The next arrival; nothing after the end of the run.
     std::optional<Arrival> next();
 
-    /// Share of a customer in the requests.
+    /// Share of a customer in the requests without a flood.
     double customerShare(int customer) const;
 
 private:
@@ -43,6 +43,7 @@
     double m_now { 0 };
     std::vector<double> m_customerWeights;
     double m_weightSum { 0 };
+    double m_flood { 0 }; ///< Share of requests that the first customer sends on top of its own.
 };
 
 } // namespace Lavenderpick::Load
--- a/Services/Load/EngineModel.cpp
+++ b/Services/Load/EngineModel.cpp
@@ -12,7 +12,7 @@
     }
     // Waiting work stands in the order of service: short before long, then by arrival.
     const auto place = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const auto &other) {
-        return m_settings.shortFirst && !sequence.isLong && other.isLong;
+        return m_settings.shortFirst && sequence.rank < other.rank;
     });
     m_waiting.insert(place, sequence);
 }
@@ -49,7 +49,7 @@
 double EngineModel::prefill(EngineSequence &sequence, std::int64_t budget, std::int64_t &used)
 {
     const std::int64_t left = sequence.promptTokens - sequence.prefilled;
-    const std::int64_t tokens = m_settings.chunkedPrefill ? std::min(left, budget) : left;
+    const std::int64_t tokens = std::min(left, budget);
     const auto chunk = static_cast<double>(tokens);
     const double earlier = static_cast<double>(sequence.contextTokens + sequence.prefilled);
     sequence.prefilled += tokens;
@@ -65,9 +65,13 @@
     for (EngineSequence &sequence : m_running) {
         if (sequence.prefilled == sequence.promptTokens)
             continue;
-        const bool first = !sequence.isLong || !m_settings.shortFirst;
+        const bool first = sequence.rank == 0 || !m_settings.shortFirst;
         (first ? shorts : longs).push_back(&sequence);
     }
+    if (m_settings.shortFirst)
+        std::stable_sort(longs.begin(), longs.end(), [](const auto *left, const auto *right) {
+            return left->rank < right->rank;
+        });
     double seconds = 0;
     std::int64_t used = 0;
     const auto serve = [&](const std::vector<EngineSequence *> &sequences, std::int64_t limit) {
@@ -122,7 +126,8 @@
     std::int64_t tokens = 0;
     for (const auto *sequences : { &m_waiting, &m_running }) {
         for (const EngineSequence &sequence : *sequences)
-            tokens += shortOnly && sequence.isLong ? 0 : sequence.promptTokens - sequence.prefilled;
+            tokens +=
+                    shortOnly && sequence.rank > 0 ? 0 : sequence.promptTokens - sequence.prefilled;
     }
     return tokens;
 }
--- a/Services/Load/EngineModel.h
+++ b/Services/Load/EngineModel.h
@@ -16,7 +16,6 @@
     double prefillPerToken { 15e-6 };
     double attentionPerPair { 0.05e-9 };
     bool shortFirst { true };
-    bool chunkedPrefill { true };
     /// Share of a step's budget that long prefill keeps while short prefill is waiting.
     double longShare { 0.2 };
 };
@@ -29,7 +28,7 @@
     std::int64_t contextTokens { 0 }; ///< Before them, cached or on other engines.
     std::int64_t outputTokens { 0 };  ///< 0 for a segment that is only prefilled.
     std::int64_t kvTokens { 0 };      ///< 0 when a reservation holds the memory.
-    bool isLong { false };
+    int rank { 0 };                   ///< Order of service; 0 is a short prompt.
 
     std::int64_t prefilled { 0 };
     std::int64_t produced { 0 };
@@ -85,7 +84,6 @@
     void admit();
     double prefill(EngineSequence &sequence, std::int64_t budget, std::int64_t &used);
     double prefillAll(std::int64_t budget, std::vector<EngineSequence *> &completed);
-    bool before(const EngineSequence &left, const EngineSequence &right) const;
 
     EngineModelSettings m_settings;
     std::list<EngineSequence> m_waiting;
--- a/Services/Load/EntryModel.cpp
+++ b/Services/Load/EntryModel.cpp
@@ -20,12 +20,10 @@
     settings.objective = experiment.objective;
     settings.useAffinity = experiment.uses("affinity");
     settings.usePools = experiment.uses("pools");
-    if (!experiment.uses("interference"))
-        settings.interference = 0;
     if (!experiment.uses("long_memory"))
         settings.longMemoryShare = settings.memoryShare;
     if (!experiment.uses("sampling"))
-        settings.samples = 1'000'000;
+        settings.samples = settings.longSamples = 1'000'000;
     return settings;
 }
 
--- a/Services/Load/Experiment.cpp
+++ b/Services/Load/Experiment.cpp
@@ -7,8 +7,8 @@
 namespace Lavenderpick::Load {
 
 const std::vector<std::string> experimentMechanisms {
-    "short_first", "chunked_prefill", "own_sends", "affinity",     "pools",    "interference",
-    "long_memory", "admission",       "budgets",   "retry_budget", "outliers", "sampling",
+    "short_first", "own_sends", "affinity",     "pools",    "long_memory",
+    "admission",   "budgets",   "retry_budget", "outliers", "sampling",
 };
 
 namespace {
@@ -88,6 +88,8 @@
                                       std::string(toString(run.objective))));
     run.customers = readInt(map, "customers", run.customers);
     run.customerSkew = map.number("customer_skew", positive, run.customerSkew);
+    run.floodFactor = map.number("flood_factor", positive, run.floodFactor);
+    run.prefixTokens = map.integer("prefix_tokens", count, run.prefixTokens);
     run.prefixShare = map.number("prefix_share", { 0, 1 }, run.prefixShare);
     run.deadlineFactor = map.number("deadline_factor", positive, run.deadlineFactor);
     run.deadlineFloorSeconds = map.number("deadline_floor_s", positive, run.deadlineFloorSeconds);
--- a/Services/Load/Experiment.h
+++ b/Services/Load/Experiment.h
@@ -74,7 +74,9 @@
     std::string policy { "router" };
     Objective objective { Objective::ShortSlowdown };
     int customers { 10 };
-    double customerSkew { 1 };   ///< Exponent of the Zipf law of the customers' shares.
+    double customerSkew { 1 };           ///< Exponent of the Zipf law of the customers' shares.
+    double floodFactor { 1 };            ///< The first customer sends this many times its share.
+    std::int64_t prefixTokens { 2'000 }; ///< Length of a customer's prefix.
     double prefixShare { 0.3 };  ///< Of prompts, those that start with their customer's prefix.
     double deadlineFactor { 4 }; ///< Deadline over the response time on an idle engine.
     double deadlineFloorSeconds { 15 };
--- a/Services/Load/FleetModel.cpp
+++ b/Services/Load/FleetModel.cpp
@@ -12,7 +12,6 @@
     EngineModelSettings settings;
     settings.kvTokens = experiment.fleet.kvTokens;
     settings.shortFirst = experiment.uses("short_first");
-    settings.chunkedPrefill = experiment.uses("chunked_prefill");
     return settings;
 }
 
--- a/Services/Load/FleetRequests.cpp
+++ b/Services/Load/FleetRequests.cpp
@@ -53,8 +53,9 @@
 
 void FleetModel::wait(ModelRequest &request)
 {
-    // The deadline in the queue is the last moment at which the request can still finish.
-    const double latest = request.deadlineAt - 1.25 * request.idleResponse;
+    // The deadline in the queue is the last moment at which the request can still finish; on a busy
+    // engine a long prompt takes up to three times the idle time.
+    const double latest = request.deadlineAt - 3 * request.idleResponse;
     const Duration left = std::chrono::duration_cast<Duration>(
             std::chrono::duration<double>(std::max(0.0, latest - m_seconds)));
     const std::optional<QueuedRequest> shed = entryOf(request).queue().push(
@@ -109,7 +110,7 @@
                  .outputTokens =
                          std::max<std::int64_t>(1, sent.arrival.outputTokens - sent.delivered),
                  .kvTokens = sent.arrival.promptTokens + sent.arrival.outputTokens,
-                 .isLong = prompt > shortPromptTokens });
+                 .rank = lengthRank(prompt) });
     });
 }
 
@@ -160,7 +161,7 @@
              .promptTokens = tokens,
              .contextTokens = before,
              .outputTokens = last ? std::max<std::int64_t>(1, request.arrival.outputTokens) : 0,
-             .isLong = true });
+             .rank = 2 });
 }
 
 void FleetModel::releaseGroup(ModelRequest &request)
--- a/Services/Load/Results.cpp
+++ b/Services/Load/Results.cpp
@@ -147,7 +147,11 @@
     std::uint64_t failed = 0;
     std::uint64_t done = 0;
     double work = 0;
+    double others = 0;
+    double othersDone = 0;
     for (const RequestResult &result : m_requests) {
+        others += result.arrival.customer > 0 ? 1 : 0;
+        othersDone += result.arrival.customer > 0 && inTime(result) ? 1 : 0;
         if (!result.refusal.empty())
             ++refusals[result.refusal];
         else if (!result.completed)
@@ -174,6 +178,7 @@
         { "failed", failed },
         { "deadline_missed", missed },
         { "fairness", fairness() },
+        { "others_in_time", others > 0 ? othersDone / others : 1 }, // All but the first customer.
     };
 }
 
--- a/Tests/LibRouting/TestRouter.cpp
+++ b/Tests/LibRouting/TestRouter.cpp
@@ -158,7 +158,7 @@
         one.add(upstream, 0);
     const RouteDecision decision = one.choose(1'000'000);
     BOOST_TEST((decision.refusal == RefusalReason::UpstreamMemory));
-    BOOST_TEST(decision.largestCapacity == 450'000);
+    BOOST_TEST(decision.largestCapacity == 360'000);
     const RouteRequest request { .model = "m", .promptTokens = 1'000'000 };
     const auto group = one.router.chooseGroup(request, one.candidates, start, 8);
     BOOST_TEST(group.size() == 3u);
--- a/include/lavenderpick/Routing/LoadView.h
+++ b/include/lavenderpick/Routing/LoadView.h
@@ -13,6 +13,17 @@
 /// Prompts up to this length count as short; chunked prefill delays them by longer ones.
 constexpr std::int64_t shortPromptTokens = 16'384;
 
+constexpr std::int64_t mediumPromptTokens = 100'000;
+
+/// Order of service of prefill: 0 for short prompts, 1 for medium and 2 for long ones. A prompt
+/// that takes a second must not wait for one that takes half a minute.
+constexpr int lengthRank(std::int64_t promptTokens)
+{
+    if (promptTokens <= shortPromptTokens)
+        return 0;
+    return promptTokens <= mediumPromptTokens ? 1 : 2;
+}
+
 /// The predicted load of one upstream at one moment.
 struct UpstreamLoad
 {
@@ -54,6 +65,10 @@
 
     UpstreamLoad load(const std::string &upstream, TimePoint now) const;
 
+    /// Share of the upstreams that were occupied by long prompts in the last minute. All entries
+    /// derive it from the same reports, so that they agree on the engines preferred for long work.
+    double longOccupancy() const { return m_longOccupancy; }
+
     /// Forgets an upstream that is gone.
     void forget(const std::string &upstream);
 
@@ -78,7 +93,10 @@
 
     static std::deque<Sent>::iterator find(State &state, const std::string &attemptId);
 
+    void recordOccupancy(const LoadReport &report, std::int64_t shortBacklog);
+
     const CostModel &m_costModel;
+    double m_longOccupancy { 0 };
     std::unordered_map<std::string, State> m_states;
 };
 
--- a/include/lavenderpick/Routing/Router.h
+++ b/include/lavenderpick/Routing/Router.h
@@ -10,6 +10,8 @@
 {
     Objective objective { Objective::ShortSlowdown };
     std::size_t samples { 4 }; ///< Candidates compared per distance.
+    /// For prompts that are not short: they are too rare to herd, and a wrong choice costs more.
+    std::size_t longSamples { 16 };
     /// Round trips to the same zone, the same region and far regions.
     std::array<double, 3> distanceSeconds { 0.0, 0.002, 0.08 };
     /// A prefix holder may be busier than the best other candidate by at most this time.
@@ -20,18 +22,14 @@
     bool usePools { true };
     /// With the objective short_slowdown, a short prompt goes to an engine that is preferred for
     /// long ones when this saves more than the time that their prefill steps cost it.
-    double shortCrossingSeconds { 0.1 };
+    double shortCrossingSeconds { 0.3 };
     /// A long prompt goes to an engine preferred for short ones when this saves more than its own
     /// prefill time multiplied by this factor.
-    double longCrossingFactor { 1 };
-    /// Engine time planned for a second of short prefill over that for a second of long prefill:
-    /// short requests are only fast on engines with idle time.
-    double shortHeadroom { 2 };
-    /// With the objective short_slowdown: part of the time of a long prefill by which it delays
-    /// each request that decodes on the same engine.
-    double interference { 0.6 };
-    /// Weight of the delay that a long prompt causes to one running request.
-    double harmWeight { 0.1 };
+    double longCrossingFactor { 4 };
+    /// Engines preferred for long prompts over those that they occupied lately. Above 1, so that
+    /// the share can grow with demand.
+    double longHeadroom { 1.2 };
+    double maximumLongShare { 0.6 };
 };
 
 /// The policy of section 6 of the design page. Not safe for concurrent use.
@@ -69,20 +67,19 @@
     struct Group
     {
         double extraSeconds { 0 }; ///< Cost of distance and of crossing.
+        bool crosses { false };
         Indices indices;
     };
 
     std::optional<Scored> score(const RouteRequest &request, const Candidate &candidate,
                                 std::int64_t cachedTokens, TimePoint now) const;
-    double interferenceSeconds(const PredictedCost &cost, const UpstreamLoad &load,
-                               bool isShort) const;
+    double waitSeconds(const PredictedCost &cost, const UpstreamLoad &load, int rank) const;
     std::optional<Scored> bestOf(const RouteRequest &request, std::span<const Candidate> candidates,
                                  const Indices &indices, TimePoint now) const;
     std::vector<Group> groups(const RouteRequest &request, std::span<const Candidate> candidates,
                               bool isShort, Random &random) const;
+    bool usesPools() const;
     std::vector<bool> preferredForLong(std::span<const Candidate> candidates) const;
-    void recordDemand(const RouteRequest &request, std::span<const Candidate> candidates,
-                      TimePoint now);
     std::optional<Scored> bestSampled(const RouteRequest &request,
                                       std::span<const Candidate> candidates, TimePoint now,
                                       Random &random) const;
@@ -93,9 +90,6 @@
     const CostModel &m_costModel;
     const LoadView &m_loadView;
     const PrefixIndex &m_prefixIndex;
-    double m_shortDemand { 0 }; ///< Prefill seconds, exponentially averaged.
-    double m_longDemand { 0 };
-    TimePoint m_demandAt {};
 };
 
 /// Mean prefill backlog of the usable candidates over `referenceSeconds`: 1 is as much work as the
