StandIns: Declare the engine's flags as a table and test a frozen engine

The engine's command had its own signal handling and listed each flag twice; it now shares the runner of the other stand-ins.

The process test also freezes the engine: its stream fails within 8 s although heartbeats keep the entry's connection alive, and its memory is released once the engine goes on.

--- a/Tests/Processes/AgentTest.py
+++ b/Tests/Processes/AgentTest.py
@@ -161,6 +161,7 @@
 platform: {{address: "127.0.0.1:{PLATFORM}"}}
 upstream: {{name: engine-1, kind: engine, address: "127.0.0.1:{ENGINE}", checks_fencing: true}}
 periods: {{inventory: 1 s, load: 500 ms}}
+caps: {{engine_silence: 2 s}}
 """)
         process = self.run(BUILD + "/Utilities/lavenderpick", "agent", "--settings", settings)
         if port not in self.entry.agents:
@@ -232,6 +233,23 @@
     return newer
 
 
+def test_frozen_engine(processes, port):
+    """Guards against a stream that heartbeats keep alive while its engine does not respond, and
+    against what that stream holds once the engine goes on."""
+    stream = events(connect(port, "POST", "/internal/attempts", attempt("e", "hello", 50000)))
+    next(stream)
+    processes.engine.send_signal(signal.SIGSTOP)
+    started = time.monotonic()
+    for event in stream:
+        pass
+    assert event["type"] == "failed" and event["reason"] == "upstream_failed", event
+    assert time.monotonic() - started < 8
+    assert not fetch(port, "/ready")["ready"]
+    processes.engine.send_signal(signal.SIGCONT)
+    eventually(lambda: fetch(port, "/ready")["ready"])
+    eventually(engine_is_empty)
+
+
 def test_terminated_agent(agent, port):
     """Guards against a planned stop that cuts off a stream."""
     stream = events(connect(port, "POST", "/internal/attempts", attempt("d", "hi", 600)))
@@ -285,6 +303,7 @@
             return measure(processes, PORT + 10)
         agent = test_killed_agent(processes, PORT + 10)
         agent = test_frozen_agent(processes, agent, PORT + 10, PORT + 11)
+        test_frozen_engine(processes, PORT + 11)
         test_terminated_agent(agent, PORT + 11)
     finally:
         processes.stop()
--- a/Tests/StandIns/ServerCommands.cpp
+++ b/Tests/StandIns/ServerCommands.cpp
@@ -1,5 +1,6 @@
 #include "ServerCommands.h"
 
+#include "EngineServer.h"
 #include "PlatformServer.h"
 #include "ServiceServer.h"
 
@@ -44,8 +45,70 @@
     return 2;
 }
 
+template <typename Value>
+struct EngineFlag
+{
+    const char *name;
+    Value EngineOptions::*field;
+    const char *description;
+};
+
+constexpr EngineFlag<int> wholeFlags[] {
+    { "load-lag-ms", &EngineOptions::loadLagMilliseconds, "age that a load report reaches" },
+    { "event-delay-ms", &EngineOptions::eventDelayMilliseconds, "delay of cache events" },
+    { "event-gap", &EngineOptions::eventGap, "lose every n-th cache event; 0 loses none" },
+    { "heartbeat-ms", &EngineOptions::heartbeatMilliseconds, "interval of SSE comments; 0: none" },
+    { "order-ms", &EngineOptions::orderMilliseconds, "time until an order takes effect" },
+};
+constexpr EngineFlag<std::int64_t> tokenFlags[] {
+    { "kv-capacity", &EngineOptions::kvCapacity, "KV memory in tokens" },
+    { "token-budget", &EngineOptions::tokenBudget, "tokens of one step" },
+};
+constexpr EngineFlag<double> realFlags[] {
+    { "step-ms", &EngineOptions::stepMilliseconds, "time of a step without prefill" },
+    { "prefill-us", &EngineOptions::prefillMicrosecondsPerToken, "time of a prefilled token" },
+    { "attention-ns", &EngineOptions::attentionNanosecondsPerPair,
+      "time of each pair of a prefilled and an earlier token" },
+    { "time-scale", &EngineOptions::timeScale, "real over simulated time" },
+};
+
+template <typename Visit>
+void forEachEngineFlag(Visit visit)
+{
+    for (const auto &flag : wholeFlags)
+        visit(flag);
+    for (const auto &flag : tokenFlags)
+        visit(flag);
+    for (const auto &flag : realFlags)
+        visit(flag);
+}
+
 } // namespace
 
+int runEngineCommand(int argc, char **argv)
+{
+    cxxopts::Options options("lavenderpick-standins engine", "A stand-in for a model engine.");
+    const EngineOptions defaults;
+    auto add = options.add_options();
+    add("name", "name in handles", cxxopts::value<std::string>()->default_value(defaults.name));
+    add("ignore-fence", "accept orders with an old fence");
+    add("models", "names of the loaded models",
+        cxxopts::value<std::vector<std::string>>()->default_value(defaults.models.front()));
+    forEachEngineFlag([&]<typename Value>(const EngineFlag<Value> &flag) {
+        add(flag.name, flag.description,
+            cxxopts::value<Value>()->default_value(std::to_string(defaults.*flag.field)));
+    });
+    return runServer(argc, argv, options, [](const cxxopts::ParseResult &arguments) {
+        EngineOptions engine { .name = arguments["name"].as<std::string>(),
+                               .ignoreFence = arguments.count("ignore-fence") > 0,
+                               .models = arguments["models"].as<std::vector<std::string>>() };
+        forEachEngineFlag([&]<typename Value>(const EngineFlag<Value> &flag) {
+            engine.*flag.field = arguments[flag.name].template as<Value>();
+        });
+        return std::make_unique<EngineServer>(engine);
+    });
+}
+
 int runPlatformCommand(int argc, char **argv)
 {
     cxxopts::Options options("lavenderpick-standins platform",
--- a/Tests/StandIns/ServerCommands.h
+++ b/Tests/StandIns/ServerCommands.h
@@ -2,8 +2,9 @@
 
 namespace Lavenderpick::StandIns {
 
-/// Run a stand-in for the platform or for a plain service until SIGTERM or SIGINT and return the
-/// exit code.
+/// Run a stand-in for an engine, the platform or a plain service until SIGTERM or SIGINT and return
+/// the exit code.
+int runEngineCommand(int argc, char **argv);
 int runPlatformCommand(int argc, char **argv);
 int runServiceCommand(int argc, char **argv);
 
--- a/Tests/StandIns/main.cpp
+++ b/Tests/StandIns/main.cpp
@@ -1,4 +1,3 @@
-#include "EngineCommand.h"
 #include "ServerCommands.h"
 
 #include <array>
