--- a/Services/Entry/CompletionRelay.cpp
+++ b/Services/Entry/CompletionRelay.cpp
@@ -183,6 +183,7 @@
     run.problem.reset();
     const std::int64_t firstOffset = run.stream.nextOffset();
     m_selector.onSent(run.stream.attemptId(), target, run.selection());
+    log(LogLevel::Debug, "relay", "Sending an attempt", run.logFields());
     StreamStep step = readStream(run, target.address, attemptRequest(run));
     while (step == StreamStep::Resume) {
         run.problem = stopReason(run);
--- a/Tests/Processes/EntryTest.py
+++ b/Tests/Processes/EntryTest.py
@@ -58,22 +58,32 @@
     assert read_stream(entry, 30) == (expected_output(PROMPT, 30), True)
 
 
-def check_agent_crash(fleet, entry, names):
-    """Guards against a response that is lost or repeats text when its agent crashes (R7)."""
-    killed = []
-
-    def kill_busy_agent(text):
-        if len(text) < 40 or killed:
-            return
-        for name in names:
-            if '"running":1' in call(fleet.engine_ports[name], "GET", "/load")[2].replace(" ", ""):
-                fleet.processes["agent-" + name].kill()
-                killed.append(name)
-                return
-
-    text, done = read_stream(entry, 200, kill_busy_agent)
-    assert killed, "no agent was busy"
+def last_upstream(fleet):
+    lines = [line for line in fleet.log("entry-1").splitlines() if "Sending an attempt" in line]
+    return json.loads(lines[-1])["upstream"]
+
+
+def read_stream_with_fault(fleet, entry, sent_signal):
+    """Sends the signal to the agent that serves the stream, and returns the agent's process."""
+    hit = []
+
+    def signal_busy_agent(text):
+        if len(text) >= 40 and not hit:
+            hit.append(fleet.processes["agent-" + last_upstream(fleet)])
+            hit[0].send_signal(sent_signal)
+
+    text, done = read_stream(entry, 200, signal_busy_agent)
     assert text == expected_output(PROMPT, 200) and done, (len(text), done)
+    return hit[0]
+
+
+def check_agent_faults(fleet, entry):
+    """Guards against a response that is lost or repeats text when its agent falls silent or crashes (R6, R7)."""
+    read_stream_with_fault(fleet, entry, signal.SIGSTOP).send_signal(signal.SIGCONT)
+    assert "lavenderpick_retries_total{reason=\"silent_connection\"} 0" not in call(entry, "GET", "/metrics")[2]
+    fleet.wait(lambda: all(json.loads(call(port, "GET", "/inventory")[2])["streams"] == []
+                           for port in fleet.engine_ports.values()))
+    read_stream_with_fault(fleet, entry, signal.SIGKILL)
 
 
 def check_calls(fleet, entry, service):
@@ -145,7 +155,7 @@
             check_refusals(entry)
             check_completions(entry)
             check_jobs(fleet, entry, other)
-            check_agent_crash(fleet, entry, ("engine-a", "engine-b"))
+            check_agent_faults(fleet, entry)
             check_calls(fleet, entry, service)
             check_drain(fleet, entry)
         except BaseException:
--- /dev/null
+++ b/Tests/Processes/JobTakeOverTest.py
@@ -0,0 +1,54 @@
+"""Kills the entry that runs a job and checks that another one finishes it from its progress."""
+import json
+import sys
+import time
+
+from fleet import CALLER_KEY, Fleet, call, expected_output
+
+AUTHORIZED = {"Authorization": "Bearer " + CALLER_KEY}
+PROMPT = "Report on the season. " * 50
+TOKENS = 300
+
+
+def state_of(entry, path):
+    return json.loads(call(entry, "GET", path, None, AUTHORIZED)[2])["state"]
+
+
+def check_take_over(fleet, first, second):
+    """Guards against a job that dies with its entry, or starts from nothing again (J3, J5)."""
+    body = {"model": "lavender-1", "prompt": PROMPT, "max_tokens": TOKENS, "priority": "batch"}
+    status, _, text = call(first, "POST", "/v1/jobs", body, AUTHORIZED)
+    assert status == 202, text
+    identifier = json.loads(text)["id"]
+    path = "/v1/jobs/" + identifier
+    fleet.wait(lambda: "progress-1" in call(fleet.platform, "GET", f"/objects?prefix=job/{identifier}/")[2], 30)
+    assert state_of(second, path) == "running"
+    fleet.processes["entry-1"].kill()
+    killed_at = time.monotonic()
+    fleet.wait(lambda: state_of(second, path) == "done", 90)
+    result = json.loads(call(second, "GET", path + "/result", None, AUTHORIZED)[2])
+    assert result["choices"][0]["text"] == expected_output(PROMPT, TOKENS), result
+    assert 'lavenderpick_jobs_total{event="taken_over"} 1' in call(second, "GET", "/metrics")[2]
+    print(f"done {time.monotonic() - killed_at:.0f} s after the crash")
+
+
+def main(build):
+    with Fleet(build, 21_200) as fleet:
+        fleet.edit_usual_document()
+        # The engine needs 100 ms a token, so that the first checkpoint comes before the end.
+        fleet.engine("engine-a", "--step-ms", "100")
+        periods = {"holder_scan": "2 s", "holder_renewal": "5 s"}
+        first, second = fleet.entry("entry-1", periods=periods), fleet.entry("entry-2", periods=periods)
+        try:
+            for port in (first, second):
+                fleet.wait(lambda p=port: call(p, "GET", "/ready")[0] == 200)
+            check_take_over(fleet, first, second)
+        except BaseException:
+            for name in fleet.processes:
+                print(f"--- {name}\n" + fleet.log(name)[-3000:])
+            raise
+    print("passed")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
