Entry: Cancel unstreamed completions whose caller has left

Cause: cpp-httplib shows a departure only to streamed responses, so an engine worked on for callers without streaming until the end or the deadline (R9). Ruled out: replacing the library's connection loop, which its header does not expose.

--- a/Services/Entry/CompletionApi.cpp
+++ b/Services/Entry/CompletionApi.cpp
@@ -1,5 +1,6 @@
 #include "Services/Entry/CompletionApi.h"
 
+#include "Services/Entry/CallerConnection.h"
 #include "Services/Entry/CompletionFormat.h"
 #include "Services/Entry/StreamedCompletion.h"
 #include "lavenderpick/Base/Json.h"
@@ -9,13 +10,19 @@
 
 namespace {
 
-// FIXME: cpp-httplib shows a caller's departure only to streamed responses, so that a request
-// without streaming runs to its end or deadline.
+// The text is taken from the outcome; only the caller's departure matters before the end.
 class WholeAnswerReceiver final : public CompletionReceiver
 {
 public:
+    explicit WholeAnswerReceiver(CallerConnection connection)
+        : m_connection(std::move(connection))
+    { }
+
     bool onText(const std::string &) override { return true; }
-    bool isOpen() override { return true; }
+    bool isOpen() override { return !m_connection.hasLeft(); }
+
+private:
+    CallerConnection m_connection;
 };
 
 } // namespace
@@ -61,7 +68,7 @@
 
 void CompletionApi::answerWhole(CallerRequest &request, const AdmittedCompletion &admitted)
 {
-    WholeAnswerReceiver receiver;
+    WholeAnswerReceiver receiver(CallerConnection(request.http, m_context.clock));
     const CompletionOutcome outcome = m_service.run(admitted, receiver);
     if (outcome.problem)
         throw ProblemError(*outcome.problem);
--- a/Tests/Processes/EntryTest.py
+++ b/Tests/Processes/EntryTest.py
@@ -58,6 +58,23 @@
     assert read_stream(entry, 30) == (expected_output(PROMPT, 30), True)
 
 
+def check_departure(fleet, entry):
+    """Guards against an engine that works on for callers who have left (R9)."""
+    for stream in (True, False):
+        connection = http.client.HTTPConnection("127.0.0.1", entry, timeout=30)
+        body = {"model": "lavender-1", "prompt": PROMPT, "max_tokens": 100_000, "stream": stream, "deadline_ms": 3_600_000}
+        connection.request("POST", "/v1/completions", json.dumps(body), AUTHORIZED)
+        fleet.wait(lambda: not is_idle(fleet))
+        connection.sock.close()
+        connection.close()
+        fleet.wait(lambda: is_idle(fleet), 10)
+
+
+def is_idle(fleet):
+    return all(json.loads(call(port, "GET", "/inventory")[2])["streams"] == []
+               for port in fleet.engine_ports.values())
+
+
 def last_upstream(fleet):
     lines = [line for line in fleet.log("entry-1").splitlines() if "Sending an attempt" in line]
     return json.loads(lines[-1])["upstream"]
@@ -81,8 +98,7 @@
     """Guards against a response that is lost or repeats text when its agent falls silent or crashes (R6, R7)."""
     read_stream_with_fault(fleet, entry, signal.SIGSTOP).send_signal(signal.SIGCONT)
     assert "lavenderpick_retries_total{reason=\"silent_connection\"} 0" not in call(entry, "GET", "/metrics")[2]
-    fleet.wait(lambda: all(json.loads(call(port, "GET", "/inventory")[2])["streams"] == []
-                           for port in fleet.engine_ports.values()))
+    fleet.wait(lambda: is_idle(fleet))
     read_stream_with_fault(fleet, entry, signal.SIGKILL)
 
 
@@ -155,6 +171,7 @@
             check_refusals(entry)
             check_completions(entry)
             check_jobs(fleet, entry, other)
+            check_departure(fleet, entry)
             check_agent_faults(fleet, entry)
             check_calls(fleet, entry, service)
             check_drain(fleet, entry)
