Tests: Count the processor time of all threads

Cause: the cost of streams looked independent of their number: schedstat of a process counts its first thread only. Change: user and system ticks of the process, and tokens a second beside them.

--- a/Tests/Processes/measure_control.py
+++ b/Tests/Processes/measure_control.py
@@ -34,8 +34,10 @@
 
 
 def processor_seconds(process):
-    with open(f"/proc/{process.pid}/schedstat") as file:
-        return int(file.read().split()[0]) / 1e9
+    """User and system time of all threads, in ticks of 10 ms; schedstat counts the first thread only."""
+    with open(f"/proc/{process.pid}/stat") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 def resident_mib(process):
@@ -162,20 +164,26 @@
 
 
 def measure_streams():
-    print("streams  entry-cpu%  entry-MiB  agent-cpu%  agent-MiB")
+    print("streams  tokens/s  entry-cpu%  entry-MiB  agent-cpu%  agent-MiB")
     for streams in (0, 50, 100, 200):
-        cluster = MeasuredCluster(sys.argv[1], FIRST_PORT, 1, 1, time_scale=4, kv_capacity=2000000)
+        cluster = MeasuredCluster(sys.argv[1], FIRST_PORT, 1, 1, time_scale=1, kv_capacity=2000000)
         try:
             cluster.start()
-            waits = [in_background(lambda seed=number: cluster.stream("entry-1", prompt_of(1000, seed=seed), 4000,
-                                                                      deadline_ms=1200000))
-                     for number in range(streams)]
+            received = [0] * streams
+
+            def receive(number):
+                def count(text):
+                    received[number] = len(text) // 4
+                cluster.stream("entry-1", prompt_of(1000, seed=number), 4000, on_piece=count, deadline_ms=1200000)
+
+            waits = [in_background(receive, number) for number in range(streams)]
             time.sleep(15)
             running = len(call(cluster.address("engine-1"), "GET", "/inventory").json()["streams"])
-            window = Window(cluster)
+            window, before = Window(cluster), sum(received)
             time.sleep(10)
             window.close()
-            print(f"{running:7}  {window.mean_processor('entry'):10.3f}  {mean_resident(cluster, 'entry'):9.1f}"
+            rate = (sum(received) - before) / 10
+            print(f"{running:7}  {rate:8.0f}  {window.mean_processor('entry'):10.3f}  {mean_resident(cluster, 'entry'):9.1f}"
                   f"  {window.mean_processor('agent'):10.3f}  {mean_resident(cluster, 'agent'):9.1f}", flush=True)
             del waits
         finally:
