--- a/Tests/Processes/AgentTest.py
+++ b/Tests/Processes/AgentTest.py
@@ -8,6 +8,7 @@
 import http.server
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -19,7 +20,24 @@
 
 KEY = b"a cluster key for tests"
 BUILD = sys.argv[1]
-PORT = 22100
+PORTS = 12
+
+
+def free_ports():
+    """The first of a block of free ports; several runs may share the machine."""
+    while True:
+        first = random.randrange(22000, 23000 - PORTS)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                for port in range(first, first + PORTS):
+                    with socket.socket(socket.AF_INET, kind) as probe:
+                        probe.bind(("127.0.0.1", port))
+            return first
+        except OSError:
+            continue
+
+
+PORT = free_ports()
 PLATFORM, ENGINE, ENTRY = PORT, PORT + 1, PORT + 2
 DOCUMENT = {"version": 1, "changes": [
     {"version": 1, "section": "models", "token": "t", "editor": "test", "changed_at": 0,
