Http: Refuse a port that another process holds

The library sets SO_REUSEPORT on every listening socket, so a second process on the same port bound without an error and the kernel spread connections over both. Only SO_REUSEADDR is set now, so that a restart still works.

--- a/Examples/Embed/main.cpp
+++ b/Examples/Embed/main.cpp
@@ -35,10 +35,13 @@
 
     loadView.observeReport(reportOf("engine-1", 300'000), clock.now());
     loadView.observeReport(reportOf("engine-2", 0), clock.now());
-    const std::vector<Candidate> candidates { { .upstream = "engine-1" }, { .upstream = "engine-2" } };
+    const std::vector<Candidate> candidates { { .upstream = "engine-1" },
+                                              { .upstream = "engine-2" } };
 
     for (const std::int64_t tokens : { 1'000, 200'000 }) {
-        const RouteRequest request { .model = "lavender-1", .promptTokens = tokens, .outputTokens = 100 };
+        const RouteRequest request { .model = "lavender-1",
+                                     .promptTokens = tokens,
+                                     .outputTokens = 100 };
         const RouteDecision decision = router.choose(request, candidates, clock.now(), random);
         if (!decision) {
             std::cout << tokens << " tokens: refused, " << toString(decision.refusal) << '\n';
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -20,6 +20,14 @@
     return bytes;
 }
 
+// The library sets SO_REUSEPORT, with which a second process on the same port binds without an
+// error and takes a share of the connections.
+void allowRestartOnly(socket_t socket)
+{
+    const int yes = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+}
+
 // The library answers some errors itself with an empty body; callers get problem details instead.
 RefusalReason reasonForStatus(int status)
 {
@@ -47,6 +55,7 @@
     m_server.set_read_timeout(limits.readSeconds);
     m_server.set_write_timeout(limits.readSeconds);
     m_server.set_tcp_nodelay(true);
+    m_server.set_socket_options(allowRestartOnly);
     installErrorHandlers(limits);
 }
 
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -49,6 +49,18 @@
 
 } // namespace
 
+// Guards against two processes that share one port unnoticed, so that each gets a part of the
+// other's requests.
+BOOST_AUTO_TEST_CASE(a_port_in_use_is_refused)
+{
+    RunningServer running({});
+    Metrics metrics;
+    HttpServer second({}, metrics);
+    BOOST_CHECK_EXCEPTION(second.start("127.0.0.1", running.port), Error, [](const Error &error) {
+        return error.kind() == ErrorKind::InvalidSettings;
+    });
+}
+
 // Guards against an unbounded body taking the process's memory.
 BOOST_AUTO_TEST_CASE(body_over_the_cap_gets_a_problem)
 {
