--- a/Tests/StandIns/ServerCommands.cpp
+++ b/Tests/StandIns/ServerCommands.cpp
@@ -29,8 +29,8 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     const auto server = make(arguments);
-    std::cout << "listening on 127.0.0.1:" << server->start(arguments["port"].template as<int>())
-              << std::endl;
+    const int port = server->start(arguments["port"].template as<int>());
+    std::cout << "listening on 127.0.0.1:" << port << std::endl;
     int signal = 0;
     sigwait(&signals, &signal);
     return 0;
