--- a/Libraries/LibLimits/CustomerBudgets.cpp
+++ b/Libraries/LibLimits/CustomerBudgets.cpp
@@ -108,8 +108,11 @@
     Account &charged = account(customer, now);
     advance(customer, charged, now);
     charged.offered += cost / m_settings.rateSeconds;
-    if (charged.level > 0) {
-        charged.level -= cost;
+    if (charged.level > 0 || m_idle) {
+        // Idle capacity costs its borrower nothing beyond a burst, so it leaves no long debt.
+        const double burst = localRate(customer) * m_settings.burstSeconds;
+        const double level = charged.level - cost;
+        charged.level = m_idle ? std::max(level, -burst) : level;
         return std::nullopt;
     }
     constexpr double minimumRate = 1e-9; // A budget of 0 refuses for a very long time.
@@ -136,6 +139,7 @@
     else if (pressure > m_settings.lendHigh)
         m_lent *= std::exp2(-elapsed); // Taken back faster than lent: owners come first.
     m_lent = std::min(m_lent, m_settings.lendMaximum);
+    m_idle = pressure < m_settings.lendLow && m_lent >= m_settings.lendMaximum;
 }
 
 std::map<std::string, double> CustomerBudgets::hotCustomers(TimePoint now)
--- a/Libraries/LibRouting/LoadView.cpp
+++ b/Libraries/LibRouting/LoadView.cpp
@@ -58,6 +58,7 @@
             > longMemoryShare * static_cast<double>(report.kvCapacity);
     const double learned = 1 / (memoryReports * static_cast<double>(m_states.size()));
     m_longOccupancy += learned * ((prefills || holds ? 1.0 : 0.0) - m_longOccupancy);
+    m_shortOccupancy += learned * ((shortBacklog > 0 ? 1.0 : 0.0) - m_shortOccupancy);
 }
 
 std::deque<LoadView::Sent>::iterator LoadView::find(State &state, const std::string &attemptId)
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -115,13 +115,16 @@
 
 bool Router::usesPools() const
 {
-    return m_settings.usePools && m_settings.objective == Objective::ShortSlowdown;
+    return m_settings.usePools;
 }
 
 double Router::longShare() const
 {
-    return std::min(m_settings.maximumLongShare,
-                    m_settings.longHeadroom * m_loadView.longOccupancy());
+    double most = m_settings.maximumLongShare;
+    if (m_settings.objective == Objective::ShortSlowdown)
+        most = std::clamp(1 - m_settings.shortHeadroom * m_loadView.shortOccupancy(),
+                          m_settings.minimumLongShare, most);
+    return std::min(most, m_settings.longHeadroom * m_loadView.longOccupancy());
 }
 
 std::vector<bool> Router::preferredForLong(std::span<const Candidate> candidates) const
@@ -180,7 +183,8 @@
                                                   TimePoint now, Random &random) const
 {
     const int rank = lengthRank(request.promptTokens);
-    const bool confined = usesPools() && rank == 2;
+    const bool confined =
+            usesPools() && rank == 2 && m_settings.objective == Objective::ShortSlowdown;
     std::optional<Scored> best;
     Indices all;
     for (Group &group : groups(request, candidates, rank == 0, random)) {
@@ -209,6 +213,8 @@
     std::optional<Scored> best;
     const std::vector<bool> forLong = preferredForLong(candidates);
     const bool isShort = request.promptTokens <= shortPromptTokens;
+    const bool pools =
+            usesPools() && std::find(forLong.begin(), forLong.end(), true) != forLong.end();
     for (const PrefixHolder &holder : m_prefixIndex.find(request.prefix, now)) {
         const auto candidate = std::find_if(
                 candidates.begin(), candidates.end(),
@@ -216,7 +222,7 @@
         if (candidate == candidates.end() || candidate->share < 1 || !mayUse(request, *candidate))
             continue;
         const auto index = static_cast<std::size_t>(candidate - candidates.begin());
-        if (usesPools() && forLong[index] == isShort)
+        if (pools && forLong[index] == isShort)
             continue;
         std::optional<Scored> scored = score(request, *candidate, holder.tokens, now);
         if (scored)
--- a/Services/Load/EntryModel.cpp
+++ b/Services/Load/EntryModel.cpp
@@ -77,9 +77,20 @@
     , m_outliers(outlierSettings(experiment))
 {
     const FleetPlan &fleet = experiment.fleet;
-    for (int engine = 0; engine < fleet.runners; ++engine)
-        m_candidates.push_back({ .upstream = engineName(engine),
-                                 .distance = engine % fleet.zones == m_zone ? 0 : 1 });
+    VmChanges list { 1, {} };
+    for (int engine = 0; engine < fleet.runners; ++engine) {
+        const std::string name = engineName(engine);
+        m_candidates.push_back(
+                { .upstream = name, .distance = engine % fleet.zones == m_zone ? 0 : 1 });
+        list.vms.push_back({ .name = name,
+                             .role = "agent",
+                             .address = name,
+                             .datagramAddress = name,
+                             .upstream = name });
+    }
+    m_members.apply(list, TimePoint {});
+    for (const Candidate &candidate : m_candidates)
+        m_members.setWatched(candidate.upstream, true, TimePoint {});
     m_outliers.setKnownUpstreams(m_candidates.size());
     m_budgets.setEntryCount(static_cast<std::size_t>(fleet.entries));
     const Arrivals shares(experiment, 1);
@@ -94,12 +105,16 @@
 void EntryModel::observeReport(const LoadReport &report, TimePoint now)
 {
     m_view.observeReport(report, now);
+    m_members.observeReport(report, now);
 }
 
 void EntryModel::refreshCandidates(TimePoint now)
 {
-    for (Candidate &candidate : m_candidates)
+    for (Candidate &candidate : m_candidates) {
         candidate.share = m_outliers.share(candidate.upstream, now);
+        candidate.usable =
+                m_members.mayReceiveWork(*m_members.findUpstream(candidate.upstream), now);
+    }
 }
 
 void EntryModel::tick(TimePoint now)
--- a/Services/Load/EntryModel.h
+++ b/Services/Load/EntryModel.h
@@ -4,6 +4,7 @@
 #include "Services/Load/EngineModel.h"
 #include "lavenderpick/Limits/Admission.h"
 #include "lavenderpick/Limits/FairQueue.h"
+#include "lavenderpick/Membership/MemberTable.h"
 #include "lavenderpick/Retry/Backoff.h"
 #include "lavenderpick/Retry/OutlierDetector.h"
 #include "lavenderpick/Retry/RetryBudget.h"
@@ -49,7 +50,7 @@
 
     void observeReport(const LoadReport &report, TimePoint now);
 
-    /// Takes over ejections and ramps. Call after a failure and about once a second.
+    /// Takes over liveness, ejections and ramps. Call after a failure and about once a second.
     void refreshCandidates(TimePoint now);
 
     /// Once a second: pressure, lending.
@@ -92,6 +93,7 @@
     Backoff m_backoff;
     OutlierDetector m_outliers;
     FairQueue m_queue;
+    MemberTable m_members;
     std::vector<Candidate> m_candidates;
 };
 
--- a/Tests/LibLimits/TestCustomerBudgets.cpp
+++ b/Tests/LibLimits/TestCustomerBudgets.cpp
@@ -135,6 +135,24 @@
     BOOST_TEST(offer(1.5, 30, "small") < 1.5);
 }
 
+// Guards against refusing a customer's short requests on an idle fleet after one long request.
+BOOST_AUTO_TEST_CASE(idle_fleet_refuses_nobody)
+{
+    CustomerBudgets budgets;
+    budgets.setEntryCount(60);
+    TimePoint now = start;
+    for (int second = 0; second < 30; ++second) {
+        now += Seconds(1);
+        budgets.adjustLending(0.1, now);
+    }
+    for (int request = 0; request < 10; ++request)
+        BOOST_TEST(!budgets.charge("c", 60, now).has_value());
+    budgets.adjustLending(1.5, now + Seconds(1));
+    const auto wait = budgets.charge("c", 1, now + Seconds(1));
+    BOOST_REQUIRE(wait.has_value());
+    BOOST_TEST((*wait < Seconds(11)));
+}
+
 // Guards against datagrams over 1,200 bytes when many customers are near their budgets, against
 // customers that then never take part, and against memory without bound.
 BOOST_AUTO_TEST_CASE(gossip_is_bounded)
--- a/Tests/LibRetry/TestRetry.cpp
+++ b/Tests/LibRetry/TestRetry.cpp
@@ -12,7 +12,7 @@
 
 void fail(OutlierDetector &detector, const std::string &upstream, TimePoint now)
 {
-    for (int count = 0; count < 5; ++count)
+    for (int count = 0; count < 3; ++count)
         detector.recordFailure(upstream, now);
 }
 
@@ -71,7 +71,7 @@
     detector.setKnownUpstreams(10);
     for (int number = 0; number < 10; ++number)
         fail(detector, "u" + std::to_string(number), start);
-    BOOST_TEST(detector.ejectedCount(start) == 3u);
+    BOOST_TEST(detector.ejectedCount(start) == 5u);
     OutlierDetector single;
     single.setKnownUpstreams(1);
     fail(single, "u0", start);
--- a/include/lavenderpick/Limits/CustomerBudgets.h
+++ b/include/lavenderpick/Limits/CustomerBudgets.h
@@ -96,6 +96,7 @@
     UsageGossip m_gossip;
     std::size_t m_entries { 1 };
     double m_lent { 0 };
+    bool m_idle { false }; ///< All capacity is lent and still not used: nobody is refused.
     TimePoint m_lendingAdjusted {};
 };
 
--- a/include/lavenderpick/Retry/OutlierDetector.h
+++ b/include/lavenderpick/Retry/OutlierDetector.h
@@ -10,8 +10,10 @@
 
 struct OutlierSettings
 {
-    int consecutiveFailures { 5 };
-    double maximumEjectedShare { 0.3 }; ///< Of the upstreams known here.
+    int consecutiveFailures { 3 }; ///< Each costs a retry, also when a whole zone fails.
+    /// Of the upstreams known here. A deployment has three availability zones, and the loss of one
+    /// must fit.
+    double maximumEjectedShare { 0.5 };
     Duration firstEjection { Seconds(5) };
     Duration maximumEjection { Seconds(120) };
     Duration ramp { Seconds(20) };         ///< Time to the full share of work after an ejection.
--- a/include/lavenderpick/Routing/LoadView.h
+++ b/include/lavenderpick/Routing/LoadView.h
@@ -69,6 +69,9 @@
     /// derive it from the same reports, so that they agree on the engines preferred for long work.
     double longOccupancy() const { return m_longOccupancy; }
 
+    /// Share of the upstreams that were reading short prompts in the last minute.
+    double shortOccupancy() const { return m_shortOccupancy; }
+
     /// Forgets an upstream that is gone.
     void forget(const std::string &upstream);
 
@@ -97,6 +100,7 @@
 
     const CostModel &m_costModel;
     double m_longOccupancy { 0 };
+    double m_shortOccupancy { 0 };
     std::unordered_map<std::string, State> m_states;
 };
 
--- a/include/lavenderpick/Routing/Router.h
+++ b/include/lavenderpick/Routing/Router.h
@@ -20,7 +20,7 @@
     double longMemoryShare { 0.8 }; ///< Of the KV memory, that long prompts may plan for.
     bool useAffinity { true };
     bool usePools { true };
-    /// With the objective short_slowdown, a short prompt goes to an engine that is preferred for
+    /// A short prompt goes to an engine that is preferred for
     /// long ones when this saves more than the time that their prefill steps cost it.
     double shortCrossingSeconds { 0.3 };
     /// A long prompt goes to an engine preferred for short ones when this saves more than its own
@@ -30,6 +30,10 @@
     /// the share can grow with demand.
     double longHeadroom { 1.2 };
     double maximumLongShare { 0.6 };
+    /// With the objective short_slowdown, short prompts get this many times the engines that they
+    /// keep busy, and long prompts the rest, but not less than the minimum.
+    double shortHeadroom { 2.5 };
+    double minimumLongShare { 0.2 };
 };
 
 /// The policy of section 6 of the design page. Not safe for concurrent use.
