LibRouting: Let the engines for long prompts grow within a minute

Change: the factor is 2, with a least share of 0.2 once long prompts are seen. The modelled engines evict the least recently used prefix.

--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -120,11 +120,15 @@
 
 double Router::longShare() const
 {
+    constexpr double leastOccupancy = 0.002; // No long prompt for several minutes.
+    if (m_loadView.longOccupancy() < leastOccupancy)
+        return 0;
     double most = m_settings.maximumLongShare;
     if (m_settings.objective == Objective::ShortSlowdown)
         most = std::clamp(1 - m_settings.shortHeadroom * m_loadView.shortOccupancy(),
                           m_settings.minimumLongShare, most);
-    return std::min(most, m_settings.longHeadroom * m_loadView.longOccupancy());
+    const double wanted = m_settings.longHeadroom * m_loadView.longOccupancy();
+    return std::min(most, std::max(m_settings.minimumLongShare, wanted));
 }
 
 std::vector<bool> Router::preferredForLong(std::span<const Candidate> candidates) const
@@ -249,7 +253,10 @@
     if (m_settings.useAffinity && !request.prefix.empty()) {
         std::optional<Scored> holder = bestHolder(request, candidates, now);
         const double limit = best->decision.waitSeconds + m_settings.affinityLimitSeconds;
-        if (holder && holder->score < best->score && holder->decision.waitSeconds <= limit)
+        const double saved = best->decision.cost.prefillSeconds
+                - (holder ? holder->decision.cost.prefillSeconds : 0);
+        if (holder && saved >= m_settings.affinityLeastSeconds && holder->score < best->score
+            && holder->decision.waitSeconds <= limit)
             return holder->decision;
     }
     return best->decision;
--- a/Services/Load/EngineModel.cpp
+++ b/Services/Load/EngineModel.cpp
@@ -137,12 +137,17 @@
     constexpr std::size_t maximumPrefixes = 8;
     if (tokens == 0)
         return 0;
-    const auto found = m_prefixes.find(group);
-    const std::int64_t cached = found == m_prefixes.end() ? 0 : std::min(found->second, tokens);
-    if (found == m_prefixes.end() && m_prefixes.size() >= maximumPrefixes)
-        m_prefixes.erase(m_prefixes.begin());
-    std::int64_t &held = m_prefixes[group];
-    held = std::max(held, tokens);
+    const auto found = std::find_if(m_prefixes.begin(), m_prefixes.end(),
+                                    [group](const auto &held) { return held.first == group; });
+    std::int64_t cached = 0;
+    if (found != m_prefixes.end()) {
+        cached = std::min(found->second, tokens);
+        tokens = std::max(found->second, tokens);
+        m_prefixes.erase(found);
+    } else if (m_prefixes.size() >= maximumPrefixes) {
+        m_prefixes.pop_front();
+    }
+    m_prefixes.emplace_back(group, tokens);
     return cached;
 }
 
--- a/Services/Load/EngineModel.h
+++ b/Services/Load/EngineModel.h
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 #include <list>
-#include <map>
+#include <utility>
 #include <vector>
 
 namespace Lavenderpick::Load {
@@ -88,7 +88,7 @@
     EngineModelSettings m_settings;
     std::list<EngineSequence> m_waiting;
     std::list<EngineSequence> m_running;
-    std::map<int, std::int64_t> m_prefixes;
+    std::list<std::pair<int, std::int64_t>> m_prefixes; ///< Least recently used first.
     std::int64_t m_kvUsed { 0 };
     double m_lastStep { 0 };
 };
--- a/Services/Load/HttpLoad.cpp
+++ b/Services/Load/HttpLoad.cpp
@@ -90,6 +90,7 @@
 {
     m_start = m_clock.now();
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(m_experiment.http.threads));
     for (int number = 0; number < m_experiment.http.threads; ++number)
         threads.emplace_back([this] { work(); });
     for (std::thread &thread : threads)
--- a/include/lavenderpick/Routing/Router.h
+++ b/include/lavenderpick/Routing/Router.h
@@ -16,6 +16,9 @@
     std::array<double, 3> distanceSeconds { 0.0, 0.002, 0.08 };
     /// A prefix holder may be busier than the best other candidate by at most this time.
     double affinityLimitSeconds { 1.0 };
+    /// Prefill time that a cached prefix must save. Entries with old reports herd on the few
+    /// holders of a popular prefix; for less, that costs more than it saves.
+    double affinityLeastSeconds { 0.25 };
     double memoryShare { 0.95 };    ///< Of the KV memory that may be planned for.
     double longMemoryShare { 0.8 }; ///< Of the KV memory, that long prompts may plan for.
     bool useAffinity { true };
@@ -26,12 +29,12 @@
     /// A long prompt goes to an engine preferred for short ones when this saves more than its own
     /// prefill time multiplied by this factor.
     double longCrossingFactor { 4 };
-    /// Engines preferred for long prompts over those that they occupied lately. Above 1, so that
-    /// the share can grow with demand.
-    double longHeadroom { 1.2 };
+    /// Engines preferred for long prompts over those that they occupied lately. Well above 1, so
+    /// that the share grows within a minute: at 1.2 a burst of long prompts waited for minutes.
+    double longHeadroom { 2 };
     double maximumLongShare { 0.6 };
     /// With the objective short_slowdown, short prompts get this many times the engines that they
-    /// keep busy, and long prompts the rest, but not less than the minimum.
+    /// keep busy, and long prompts at most the rest, but not less than the minimum.
     double shortHeadroom { 2.5 };
     double minimumLongShare { 0.2 };
 };
