Entry: Bound background work when many peers fail at once

Cause: cancellations shared the workers of the document poll and the lease; in the failure of an availability zone hundreds of them with 1 s timeouts would have delayed both. Each message with a later version queued a poll. Idle connections to replaced peers were never closed. Ruled out: more workers, which only move the limit. Change: WorkerPool with a bounded queue for cancellations, at most one update a second on account of peers, HttpClientPool::closeOldConnections, a process test of requests that wait for memory.

--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -72,12 +72,18 @@
     return client;
 }
 
-std::unique_ptr<httplib::Client> HttpClient::takeIdle()
+void HttpClient::closeOldConnections()
 {
     const TimePoint oldest = m_clock.now() - m_idleLimit;
     const std::lock_guard lock(m_mutex);
     std::erase_if(m_idle,
                   [&](const IdleConnection &connection) { return connection.idleSince < oldest; });
+}
+
+std::unique_ptr<httplib::Client> HttpClient::takeIdle()
+{
+    closeOldConnections();
+    const std::lock_guard lock(m_mutex);
     if (m_idle.empty())
         return connect();
     auto client = std::move(m_idle.back().client);
@@ -157,6 +163,13 @@
     return *client;
 }
 
+void HttpClientPool::closeOldConnections()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[address, client] : m_clients)
+        client->closeOldConnections();
+}
+
 HostAndPort HostAndPort::parse(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
--- a/Services/Entry/DocumentSync.cpp
+++ b/Services/Entry/DocumentSync.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Seconds fetchTimeout { 2 };
+constexpr Seconds shortestUpdatePeriod { 1 };
 constexpr int okStatus = 200;
 
 } // namespace
@@ -45,9 +46,16 @@
     m_fetching.erase(address);
 }
 
-bool DocumentSync::isBehind(std::int64_t version) const
+bool DocumentSync::isCallForUpdate(std::int64_t version)
 {
-    return version > m_context.replica.version();
+    if (version <= m_context.replica.version())
+        return false;
+    const TimePoint now = m_context.clock.now();
+    const std::lock_guard lock(m_mutex);
+    if (now - m_lastUpdate < shortestUpdatePeriod)
+        return false;
+    m_lastUpdate = now;
+    return true;
 }
 
 bool DocumentSync::refreshFromStore()
--- a/Services/Entry/DocumentSync.h
+++ b/Services/Entry/DocumentSync.h
@@ -26,8 +26,9 @@
     /// Does not throw.
     void fetchFrom(const std::string &address);
 
-    /// Whether a fetch for that version is worth it.
-    bool isBehind(std::int64_t version) const;
+    /// Whether a process that shows this version makes a poll or fetch worth it now. Says so at
+    /// most once a second, since every message of a busy entry shows a version.
+    bool isCallForUpdate(std::int64_t version);
 
 private:
     bool refreshFromStore();
@@ -40,6 +41,7 @@
     DocumentStore m_store;
     std::mutex m_mutex;
     std::set<std::string> m_fetching;
+    TimePoint m_lastUpdate {};
 };
 
 } // namespace Lavenderpick
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr std::size_t workerThreads = 8;
+// When an availability zone fails, hundreds of attempts are cancelled at agents that do not answer.
+// They must not delay the document or the lease. Agents cancel abandoned attempts by themselves.
+constexpr std::size_t cancellationThreads = 4;
+constexpr std::size_t maximumCancellations = 1'024;
+constexpr Seconds connectionSweep { 5 };
 constexpr double timerJitter = 0.2;
 constexpr Milliseconds startupPoll { 500 };
 constexpr Seconds adjustPeriod { 1 };
@@ -31,7 +36,7 @@
     , m_waitingRoom(m_context, m_directory)
     , m_relay({ .silence = settings.caps.streamSilence }, m_clock, m_random, m_metrics, m_peers,
               m_directory,
-              [this](std::function<void()> task) { m_loop.postToWorker(std::move(task)); })
+              [this](std::function<void()> task) { m_cancellations.post(std::move(task)); })
     , m_longPrompts(m_context, m_peers, m_directory, m_relay)
     , m_completions(m_context, m_directory, m_admission, m_waitingRoom, m_relay, m_longPrompts)
     , m_jobs(m_context, m_platform, m_platform, m_directory, m_completions)
@@ -42,11 +47,12 @@
     , m_serviceCallApi(m_context, m_serviceCalls, m_records)
     , m_jobApi(m_context, m_jobs)
     , m_internalApi(m_context, m_authenticator, m_directory, m_gate)
+    , m_cancellations(cancellationThreads, maximumCancellations)
     , m_server(settings.caps.httpLimits(), m_metrics)
 {
     // An agent that is ahead has got its document from another entry, so the store has it too.
     m_peers.observePeerVersions([this](const std::string &, std::int64_t version) {
-        if (m_documents.isBehind(version))
+        if (m_documents.isCallForUpdate(version))
             m_loop.postToWorker([this] { m_documents.poll({}); });
     });
     addRoutes();
@@ -102,6 +108,7 @@
         m_admission.followDocument();
         m_admission.adjust(m_directory.pressure(), m_directory.entries().size());
     });
+    m_loop.every({ connectionSweep, timerJitter }, [this] { m_peers.closeOldConnections(); });
     m_loop.every({ pumpPeriod, 0 }, [this] { m_waitingRoom.pump(); });
     addJobTimers();
 }
--- a/Services/Entry/EntryProcess.h
+++ b/Services/Entry/EntryProcess.h
@@ -21,6 +21,7 @@
 #include "lavenderpick/Http/HttpServer.h"
 #include "lavenderpick/Platform/HttpPlatform.h"
 #include "lavenderpick/Runtime/EventLoop.h"
+#include "lavenderpick/Runtime/WorkerPool.h"
 
 #include <thread>
 
@@ -74,6 +75,7 @@
     ServiceCallApi m_serviceCallApi;
     JobApi m_jobApi;
     EntryInternalApi m_internalApi;
+    WorkerPool m_cancellations; ///< Behind what its tasks use, so that it ends first.
     HttpServer m_server;
     std::string m_callCursor; ///< Where the next sweep goes on; used by its timer only.
     std::string m_jobCursor;
--- a/Services/Entry/PeerClient.h
+++ b/Services/Entry/PeerClient.h
@@ -31,6 +31,9 @@
     HttpResponse stream(const std::string &address, HttpRequest request,
                         const PieceReceiver &receiver);
 
+    /// Call it every few seconds.
+    void closeOldConnections() { m_pool.closeOldConnections(); }
+
 private:
     void sign(HttpRequest &request) const;
     HttpResponse observed(const std::string &address, HttpResponse response) const;
--- a/Services/Entry/PeerExchange.cpp
+++ b/Services/Entry/PeerExchange.cpp
@@ -70,7 +70,7 @@
     m_context.metrics.increment(datagramsName,
                                 accepted ? "kind=\"report\"" : "kind=\"late_report\"");
     // An agent's document lacks sections, so what it knows is read from the store instead.
-    if (m_documents.isBehind(report.documentVersion))
+    if (m_documents.isCallForUpdate(report.documentVersion))
         m_loop.postToWorker([this] { m_documents.poll({}); });
 }
 
@@ -88,7 +88,7 @@
     const Milliseconds age(gossip.confirmationAgeMilliseconds);
     if (age < unconfirmedAge)
         m_context.replica.confirmByPeer(gossip.documentVersion, age);
-    if (m_documents.isBehind(gossip.documentVersion))
+    if (m_documents.isCallForUpdate(gossip.documentVersion))
         m_loop.postToWorker([this, address = gossip.address] { m_documents.fetchFrom(address); });
 }
 
--- a/Tests/Processes/LongPromptTest.py
+++ b/Tests/Processes/LongPromptTest.py
@@ -56,6 +56,24 @@
     fleet.wait(lambda: is_released(fleet))
 
 
+def check_waiting(fleet, entry):
+    """Guards against requests that fail because all memory is taken for a moment (R2)."""
+    answers = []
+
+    def run(seed):
+        prompt = prompt_of(2_500, seed)
+        status, _, text = completion(entry, prompt, 60)
+        answers.append((status, text) if status != 200 else
+                       json.loads(text)["choices"][0]["text"] == expected_output(prompt, 60))
+
+    threads = [threading.Thread(target=run, args=(f"wait-{seed}",)) for seed in range(12)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert answers == [True] * 12, answers
+
+
 def main(build):
     with Fleet(build, 21_100) as fleet:
         fleet.edit_usual_document()
@@ -67,6 +85,7 @@
             fleet.wait(lambda: completion(entry, "short")[0] == 200)
             check_whole_answer(fleet, entry)
             check_competing_prompts(fleet, entry)
+            check_waiting(fleet, entry)
         except BaseException:
             for name in fleet.processes:
                 print(f"--- {name}\n" + fleet.log(name)[-3000:])
--- a/include/lavenderpick/Http/HttpClient.h
+++ b/include/lavenderpick/Http/HttpClient.h
@@ -66,6 +66,9 @@
     /// Returns normally when the stream ended or the receiver cancelled.
     HttpResponse stream(const HttpRequest &request, const PieceReceiver &receiver);
 
+    /// Closes the connections that are not trusted any more.
+    void closeOldConnections();
+
 private:
     struct IdleConnection
     {
@@ -96,6 +99,10 @@
 
     HttpClient &client(const std::string &address);
 
+    /// Closes idle connections to all peers. Call it every few seconds: peers that are replaced are
+    /// never asked again, and would keep their connections.
+    void closeOldConnections();
+
 private:
     const Clock &m_clock;
     std::mutex m_mutex;
