Entry: Choose free ports in the process tests

Cause: in a ctest run with other checkouts at work, EntryTest, LongPromptTest and JobTakeOverTest failed at their first edit: their platform's port was taken, and cpp-httplib binds with SO_REUSEPORT, so that both platforms shared it. Change: the fleet takes free ports from 21000 to 21999, from a random start.

--- a/Tests/Processes/EntryTest.py
+++ b/Tests/Processes/EntryTest.py
@@ -156,7 +156,7 @@
 
 
 def main(build):
-    with Fleet(build, 21_000) as fleet:
+    with Fleet(build) as fleet:
         fleet.edit_usual_document()
         for name in ("engine-a", "engine-b"):
             fleet.engine(name)
--- a/Tests/Processes/JobTakeOverTest.py
+++ b/Tests/Processes/JobTakeOverTest.py
@@ -50,7 +50,7 @@
 
 
 def main(build):
-    with Fleet(build, 21_200) as fleet:
+    with Fleet(build) as fleet:
         fleet.edit_usual_document()
         # The engine needs 100 ms a token, so that the first checkpoint comes before the end.
         fleet.engine("engine-a", "--step-ms", "100")
--- a/Tests/Processes/LongPromptTest.py
+++ b/Tests/Processes/LongPromptTest.py
@@ -75,7 +75,7 @@
 
 
 def main(build):
-    with Fleet(build, 21_100) as fleet:
+    with Fleet(build) as fleet:
         fleet.edit_usual_document()
         for name in ENGINES:
             fleet.engine(name, "--kv-capacity", str(CAPACITY), "--time-scale", "0.2")
--- a/Tests/Processes/fleet.py
+++ b/Tests/Processes/fleet.py
@@ -3,12 +3,15 @@
 import http.client
 import json
 import os
+import random
+import socket
 import subprocess
 import tempfile
 import time
 
 CLUSTER_KEY = "process-test-cluster-key"
 CALLER_KEY = "enna.secret-of-enna"
+PORTS = range(21_000, 22_000)
 PRIORITIES = {
     "standard": {"rank": 0, "default_deadline": "60 s", "shed_order": 9, "objective": "short_slowdown"},
     "batch": {"rank": 5, "default_deadline": "600 s", "shed_order": 1, "objective": "short_slowdown"},
@@ -27,6 +30,16 @@
         connection.close()
 
 
+def is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
 def customer(secret, roles, budget=1e9):
     salt = "salt-of-the-process-tests"
     key = hashlib.blake2b(salt.encode(), digest_size=32).digest()
@@ -56,11 +69,11 @@
 class Fleet:
     """A platform stand-in and the processes started around it; all end with the `with` block."""
 
-    def __init__(self, build, first_port):
+    def __init__(self, build):
         self.program = os.path.join(build, "Utilities", "lavenderpick")
         self.stand_ins = os.path.join(build, "Tests", "lavenderpick-standins")
         self.folder = tempfile.mkdtemp(prefix="lavenderpick-")
-        self.port = first_port
+        self.port = random.randrange(PORTS.start, PORTS.stop)
         self.processes = {}
         self.engine_ports = {}
         self.version = 0
@@ -78,8 +91,13 @@
             process.wait()
 
     def next_port(self):
-        self.port += 1
-        return self.port
+        """A free port. Fleets of other checkouts may run on the same machine, and a server of the
+        library would share a taken port with them instead of failing."""
+        for _ in PORTS:
+            self.port = self.port + 1 if self.port + 1 in PORTS else PORTS.start
+            if is_free(self.port):
+                return self.port
+        raise RuntimeError("no port is free")
 
     def log(self, name):
         with open(os.path.join(self.folder, name + ".log"), encoding="utf-8") as log:
