Tests: Let clusters pick free ports

Cause: process tests of several checkouts on one machine shared fixed ports; their clusters mixed and tests failed with foreign documents. Change: local_cluster.py picks ports that are free for both protocols.

--- a/Meta/demo.py
+++ b/Meta/demo.py
@@ -8,7 +8,6 @@
 
 from local_cluster import Cluster, answer_to, prompt_of, wait_until  # noqa: E402
 
-FIRST_PORT = 26000
 COLUMNS = (34, 10, 9, 0)
 
 
@@ -118,7 +117,7 @@
 
 def main():
     build = sys.argv[1] if len(sys.argv) > 1 else "build"
-    cluster = Cluster(build, FIRST_PORT)
+    cluster = Cluster(build)
     report = Report()
     try:
         report.step("start of all processes", lambda: (cluster.start(), f"{len(cluster.processes)} processes")[1])
--- a/Tests/Processes/ProcessFaultsTest.py
+++ b/Tests/Processes/ProcessFaultsTest.py
@@ -12,17 +12,13 @@
 from local_cluster import MODEL, Cluster, answer_to, call, in_background, prompt_of, wait_until  # noqa: E402
 
 BUILD = sys.argv.pop(1) if len(sys.argv) > 1 else "build"
-FIRST_PORT = 27000
-PORTS_PER_CLUSTER = 100
 
 
 class ProcessTest(unittest.TestCase):
-    clusters = 0
     options = {}
 
     def setUp(self):
-        ProcessTest.clusters += 1
-        self.cluster = Cluster(BUILD, FIRST_PORT + PORTS_PER_CLUSTER * ProcessTest.clusters, **self.options)
+        self.cluster = Cluster(BUILD, **self.options)
         self.addCleanup(self.cluster.stop)
         self.cluster.start()
 
--- a/Tests/Processes/local_cluster.py
+++ b/Tests/Processes/local_cluster.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import tempfile
 import threading
@@ -80,12 +81,11 @@
 class Cluster:
     """A platform, engines, a service, their agents and entries, each a process of its own."""
 
-    def __init__(self, build, first_port, engines=3, entries=2, time_scale=0.05, kv_capacity=420000,
+    def __init__(self, build, engines=3, entries=2, time_scale=0.05, kv_capacity=420000,
                  ignore_fence=False):
         self.build = os.path.abspath(build)
         self.folder = tempfile.mkdtemp(prefix="lavenderpick-")
         self.processes = {}
-        self.next_port = first_port
         self.time_scale = time_scale
         self.kv_capacity = kv_capacity
         self.ignore_fence = ignore_fence
@@ -97,9 +97,17 @@
     # Life of processes
 
     def port(self, name):
-        if name not in self.ports:
-            self.ports[name] = self.next_port
-            self.next_port += 1
+        """A free port for both protocols, kept for the life of the cluster."""
+        while name not in self.ports:
+            with socket.socket(type=socket.SOCK_DGRAM) as datagrams, socket.socket() as streams:
+                datagrams.bind(("127.0.0.1", 0))
+                port = datagrams.getsockname()[1]
+                try:
+                    streams.bind(("127.0.0.1", port))
+                except OSError:
+                    continue
+            if port not in self.ports.values():
+                self.ports[name] = port
         return self.ports[name]
 
     def address(self, name):
--- a/Tests/Processes/measure_control.py
+++ b/Tests/Processes/measure_control.py
@@ -13,7 +13,6 @@
 
 from local_cluster import Cluster, call, in_background, prompt_of, wait_until  # noqa: E402
 
-FIRST_PORT = 30000
 WINDOW_SECONDS = 30
 
 
@@ -92,16 +91,10 @@
     return sum(sizes) / len(sizes) if sizes else 0
 
 
-def start_cluster(engines, entries, **options):
-    cluster = MeasuredCluster("build" if len(sys.argv) < 2 else sys.argv[1], FIRST_PORT, engines, entries, **options)
-    cluster.start()
-    return cluster
-
-
 def measure_idle():
     print("engines entries  entry-cpu%  entry-MiB  agent-cpu%  agent-MiB  loopback-B/s  reads/s  writes/s")
     for engines, entries in ((0, 1), (0, 2), (0, 8), (8, 2), (24, 2), (48, 2), (48, 4)):
-        cluster = MeasuredCluster(sys.argv[1], FIRST_PORT, engines, entries)
+        cluster = MeasuredCluster(sys.argv[1], engines, entries)
         try:
             if engines:
                 cluster.start()
@@ -134,7 +127,7 @@
 
 def measure_changes():
     entries, engines, changes = 100, 20, 12
-    cluster = MeasuredCluster(sys.argv[1], FIRST_PORT, engines, entries)
+    cluster = MeasuredCluster(sys.argv[1], engines, entries)
     cluster.cut_off_entry = "entry-50"
     cluster.wait_serving = cluster.wait_ready
     try:
@@ -166,7 +159,7 @@
 def measure_streams():
     print("streams  tokens/s  entry-cpu%  entry-MiB  agent-cpu%  agent-MiB")
     for streams in (0, 50, 100, 200):
-        cluster = MeasuredCluster(sys.argv[1], FIRST_PORT, 1, 1, time_scale=1, kv_capacity=2000000)
+        cluster = MeasuredCluster(sys.argv[1], 1, 1, time_scale=1, kv_capacity=2000000)
         try:
             cluster.start()
             received = [0] * streams
