Entry: Become ready only with agents, and learn the VM list from peers

Cause: an entry was ready as soon as it had a document, so the balancer could send it callers before any agent had reported: both new checks of ProcessFaultsTest got 503 no_upstream. With the platform down at its start it never learned an agent at all, although its peers know them.

--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -232,11 +232,7 @@
 
 VmChanges HttpPlatform::changesSince(std::int64_t version)
 {
-    const nlohmann::json json = fetchJson("/vms?since=" + std::to_string(version));
-    VmChanges changes { .version = requireInteger(json, "version") };
-    for (const nlohmann::json &vm : requireArray(json, "vms"))
-        changes.vms.push_back(Vm::parse(vm));
-    return changes;
+    return VmChanges::parse(fetchJson("/vms?since=" + std::to_string(version)));
 }
 
 bool HttpPlatform::mayDownload(const std::string &model, const std::string &version)
--- a/Libraries/LibPlatform/VmList.cpp
+++ b/Libraries/LibPlatform/VmList.cpp
@@ -60,4 +60,20 @@
     };
 }
 
+nlohmann::json VmChanges::toJson() const
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const Vm &vm : vms)
+        list.push_back(vm.toJson());
+    return { { "version", version }, { "vms", std::move(list) } };
+}
+
+VmChanges VmChanges::parse(const nlohmann::json &json)
+{
+    VmChanges changes { .version = requireInteger(json, "version") };
+    for (const nlohmann::json &vm : requireArray(json, "vms"))
+        changes.vms.push_back(Vm::parse(vm));
+    return changes;
+}
+
 } // namespace Lavenderpick
--- a/Services/Entry/AgentDirectory.cpp
+++ b/Services/Entry/AgentDirectory.cpp
@@ -10,6 +10,8 @@
 // Prefill work that a fleet holds without long waits; long prompts alone exceed a few seconds.
 constexpr double pressureReferenceSeconds = 10;
 constexpr std::size_t maximumGroup = 16;
+// Agents answer the first subscription within a round trip; the second is sent after four seconds.
+constexpr Seconds longestWaitForReports { 5 };
 
 double secondsBetween(TimePoint from, TimePoint to)
 {
@@ -40,6 +42,8 @@
 {
     const std::lock_guard lock(m_mutex);
     m_members.apply(changes, m_context.clock.now());
+    if (!m_listedAt)
+        m_listedAt = m_context.clock.now();
     for (const Vm &vm : changes.vms) {
         if (vm.state != VmState::Gone || vm.upstream.empty())
             continue;
@@ -54,6 +58,33 @@
     return m_members.listVersion();
 }
 
+VmChanges AgentDirectory::vmList() const
+{
+    const std::lock_guard lock(m_mutex);
+    VmChanges list { .version = m_members.listVersion() };
+    for (const auto &[name, member] : m_members.members())
+        list.vms.push_back(member.vm);
+    return list;
+}
+
+bool AgentDirectory::hasHeardFromAgents() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_listedAt)
+        return false;
+    return m_heardFromAgents || m_context.clock.now() - *m_listedAt >= longestWaitForReports;
+}
+
+bool AgentDirectory::haveWatchedAgentsReported() const
+{
+    const auto &watched = m_subset.watched();
+    return !watched.empty()
+            && std::all_of(watched.begin(), watched.end(), [this](const std::string &upstream) {
+                   const Member *member = m_members.findUpstream(upstream);
+                   return member != nullptr && member->incarnation != 0;
+               });
+}
+
 bool AgentDirectory::observeReport(const LoadReport &report)
 {
     const std::lock_guard lock(m_mutex);
@@ -79,7 +110,10 @@
     const TimePoint now = m_context.clock.now();
     m_router.setObjective(document->objective());
     m_members.expire(now);
+    // Reports tell which models an agent has; it is chosen for them from the next update on.
+    const bool reported = haveWatchedAgentsReported();
     m_subset.update(m_members, groups, now);
+    m_heardFromAgents = m_heardFromAgents || (reported && document->version() > 0);
     m_outliers.setKnownUpstreams(m_subset.watched().size());
 }
 
--- a/Services/Entry/AgentDirectory.h
+++ b/Services/Entry/AgentDirectory.h
@@ -29,6 +29,13 @@
     void applyVmList(const VmChanges &changes);
     std::int64_t vmListVersion() const;
 
+    /// All members as the list showed them, for a peer that can't read the list.
+    VmChanges vmList() const;
+
+    /// Whether the watched agents have reported, so that a caller's first request finds one. After
+    /// a while silent agents no longer count: they may be down, and the others can serve.
+    bool hasHeardFromAgents() const;
+
     /// M3. Returns false for a late or unknown report.
     bool observeReport(const LoadReport &report);
 
@@ -85,6 +92,7 @@
 
     std::vector<Candidate> candidates(const std::string &model, TimePoint now) const;
     SelectedUpstream withAddress(RouteDecision decision) const;
+    bool haveWatchedAgentsReported() const;
     bool isPlannedAway(const std::string &upstream) const;
     void learnFrom(const Attempt &attempt, const AttemptResult &result);
 
@@ -97,6 +105,8 @@
     LoadView m_loadView;
     PrefixIndex m_prefixIndex;
     Router m_router;
+    std::optional<TimePoint> m_listedAt; ///< When the VM list was first applied.
+    bool m_heardFromAgents { false };
     OutlierDetector m_outliers;
     RetryBudget m_retryBudget;
     std::map<std::string, Attempt> m_attempts; ///< In flight, by attempt id.
--- a/Services/Entry/EntryInternalApi.cpp
+++ b/Services/Entry/EntryInternalApi.cpp
@@ -45,6 +45,10 @@
                authenticated([this](const httplib::Request &request, httplib::Response &response) {
                    answerDocument(request, response);
                }));
+    routes.Get("/internal/vms",
+               authenticated([this](const httplib::Request &, httplib::Response &response) {
+                   answerJson(response, okStatus, m_directory.vmList().toJson());
+               }));
     routes.Get("/internal/status",
                authenticated([this](const httplib::Request &, httplib::Response &response) {
                    answerJson(response, okStatus, status());
@@ -53,8 +57,7 @@
         answerJson(response, okStatus, health());
     });
     routes.Get("/ready", [this](const httplib::Request &, httplib::Response &response) {
-        const bool ready = m_context.replica.isReady() && !m_gate.isAnnounced();
-        answerJson(response, ready ? okStatus : unavailableStatus, health());
+        answerJson(response, isReady() ? okStatus : unavailableStatus, health());
     });
     routes.Get("/metrics", [this](const httplib::Request &, httplib::Response &response) {
         response.set_content(metrics(), "text/plain; version=0.0.4");
@@ -85,12 +88,17 @@
                m_context.replica.toMessage(parseSince(request.get_param_value("since")), view));
 }
 
+bool EntryInternalApi::isReady() const
+{
+    return m_context.replica.isReady() && m_directory.hasHeardFromAgents() && !m_gate.isAnnounced();
+}
+
 nlohmann::json EntryInternalApi::health() const
 {
     const auto age = m_context.replica.confirmationAge();
     nlohmann::json json {
         { "name", m_context.settings.name },
-        { "ready", m_context.replica.isReady() && !m_gate.isAnnounced() },
+        { "ready", isReady() },
         { "draining", m_gate.isAnnounced() },
         { "running", m_gate.running() },
         { "document_version", m_context.replica.version() },
--- a/Services/Entry/EntryInternalApi.h
+++ b/Services/Entry/EntryInternalApi.h
@@ -11,7 +11,8 @@
 
 namespace Lavenderpick {
 
-/// `/internal/document`, `/internal/status`, and what operators and balancers read: `/health`,
+/// `/internal/document`, `/internal/vms`, `/internal/status`, and what operators and balancers
+/// read: `/health`,
 /// `/ready` and `/metrics`.
 class EntryInternalApi
 {
@@ -28,6 +29,7 @@
 private:
     httplib::Server::Handler authenticated(httplib::Server::Handler handler);
     void answerDocument(const httplib::Request &request, httplib::Response &response);
+    bool isReady() const;
     nlohmann::json health() const;
     nlohmann::json status() const;
     std::string metrics();
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -32,6 +32,7 @@
     , m_directory(m_context)
     , m_admission(m_context)
     , m_documents(m_context, m_platform, m_platform, m_peers)
+    , m_vmLists(m_directory, m_platform, m_peers)
     , m_exchange(m_context, m_loop, m_directory, m_admission, m_documents)
     , m_waitingRoom(m_context, m_directory)
     , m_relay({ .silence = settings.caps.streamSilence }, m_clock, m_random, m_metrics, m_peers,
@@ -96,12 +97,11 @@
             m_documents.poll(peerAddresses());
         if (m_directory.vmListVersion() == 0)
             pollVmList();
+        else if (!m_directory.hasHeardFromAgents())
+            m_loop.post([this] { subscribe(); });
     });
     m_loop.everyOnWorker({ periods.vmListPoll, timerJitter }, [this] { pollVmList(); });
-    m_loop.every({ periods.subscribe, timerJitter }, [this] {
-        m_directory.refresh();
-        m_exchange.subscribe();
-    });
+    m_loop.every({ periods.subscribe, timerJitter }, [this] { subscribe(); });
     // The schedule decides when it is time; the timer only has to be shorter than its period.
     m_loop.every({ periods.gossip / 4, 0 }, [this] { m_exchange.gossip(); });
     m_loop.every({ adjustPeriod, timerJitter }, [this] {
@@ -134,10 +134,15 @@
 
 void EntryProcess::pollVmList()
 {
-    m_directory.applyVmList(m_platform.changesSince(m_directory.vmListVersion()));
-    m_directory.refresh();
+    m_vmLists.poll(peerAddresses());
     m_admission.followDocument();
-    m_loop.post([this] { m_exchange.subscribe(); });
+    m_loop.post([this] { subscribe(); });
+}
+
+void EntryProcess::subscribe()
+{
+    m_directory.refresh();
+    m_exchange.subscribe();
 }
 
 std::vector<std::string> EntryProcess::peerAddresses() const
--- a/Services/Entry/EntryProcess.h
+++ b/Services/Entry/EntryProcess.h
@@ -17,6 +17,7 @@
 #include "Services/Entry/PeerExchange.h"
 #include "Services/Entry/ServiceCallApi.h"
 #include "Services/Entry/ServiceCalls.h"
+#include "Services/Entry/VmListSync.h"
 #include "Services/Entry/WaitingRoom.h"
 #include "lavenderpick/Http/HttpServer.h"
 #include "lavenderpick/Platform/HttpPlatform.h"
@@ -43,6 +44,7 @@
     void addTimers();
     void addJobTimers();
     void pollVmList();
+    void subscribe();
     void sweepRecords();
     void startDrain();
     void drain();
@@ -61,6 +63,7 @@
     AgentDirectory m_directory;
     AdmissionControl m_admission;
     DocumentSync m_documents;
+    VmListSync m_vmLists;
     PeerExchange m_exchange;
     WaitingRoom m_waitingRoom;
     CompletionRelay m_relay;
--- a/Tests/Processes/ProcessFaultsTest.py
+++ b/Tests/Processes/ProcessFaultsTest.py
@@ -203,6 +203,16 @@
         self.cluster.start_entry("entry-1")
         self.cluster.wait_ready("entry-1")
         self.assertGreaterEqual(self.version_at("entry-1"), newest)
+        answer = self.cluster.complete("entry-1", prompt_of(500), 4)
+        self.assertEqual(answer.status, 200, answer.body)
+
+    def test_ready_entry_serves_at_once(self):
+        """Guards against an entry that takes callers from the balancer before it knows any agent."""
+        self.cluster.kill("entry-1")
+        self.cluster.start_entry("entry-1")
+        self.cluster.wait_ready("entry-1")
+        answer = self.cluster.complete("entry-1", prompt_of(500), 4)
+        self.assertEqual(answer.status, 200, answer.body)
 
     def test_frozen_entry_catches_up(self):
         """Guards against an entry that keeps an old document after it was paused."""
--- a/include/lavenderpick/Platform/VmList.h
+++ b/include/lavenderpick/Platform/VmList.h
@@ -42,6 +42,11 @@
     std::vector<Vm> vms {}; ///< VMs that changed after the version that was asked for.
 
     bool operator==(const VmChanges &) const = default;
+
+    nlohmann::json toJson() const;
+
+    /// Throws `Error` of kind InvalidMessage.
+    static VmChanges parse(const nlohmann::json &json);
 };
 
 /// The platform's list of VMs. Safe for concurrent use; throws `Error` of kind StoreUnavailable.
