Membership: Keep load reports within the control budget of an entry

Cause: the sums for docs/CAPACITY.md did not fit. Each entry watched 48 agents for each model or service, and each agent reported every second under load: with 4 models 192 agents and about 28 KB/s of reports against 2 KB/s. Ruled out: fewer agents alone (4 a model leave no choice for prompts over several engines); renewals of subscriptions every 10 s (agents learn document versions from them and would miss the 12 s). Change: models and services share the 48 places; a subscription asks for an interval such that all reports together stay under 1,300 bytes/s; a renewal is not answered before a report is due; a refusal of new work is reported at once. Three subset tests use 96 places for two models, so they check 48 for each as before.

--- a/Libraries/LibMembership/AgentSubset.cpp
+++ b/Libraries/LibMembership/AgentSubset.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <xxhash.h>
 
 namespace Lavenderpick {
@@ -71,14 +72,18 @@
     return ranked;
 }
 
-std::vector<SubsetMember> AgentSubset::choose(const std::vector<Ranked> &ranked) const
+std::vector<SubsetMember> AgentSubset::choose(const std::vector<Ranked> &ranked,
+                                              std::size_t size) const
 {
+    const auto placesOf = [size](double share) {
+        return static_cast<std::size_t>(std::ceil(static_cast<double>(size) * share));
+    };
     std::array<std::size_t, 3> available {};
     for (const Ranked &agent : ranked)
         ++available[static_cast<std::size_t>(agent.distance)];
-    std::array<std::size_t, 3> places { 0, std::min(m_settings.regionPlaces, available[1]),
-                                        std::min(m_settings.farPlaces, available[2]) };
-    std::size_t unassigned = m_settings.size - std::min(m_settings.size, places[1] + places[2]);
+    std::array<std::size_t, 3> places { 0, std::min(placesOf(m_settings.regionShare), available[1]),
+                                        std::min(placesOf(m_settings.farShare), available[2]) };
+    std::size_t unassigned = size - std::min(size, places[1] + places[2]);
     for (std::size_t distance = 0; distance < 3; ++distance) {
         const std::size_t more = std::min(unassigned, available[distance] - places[distance]);
         places[distance] += more;
@@ -105,8 +110,10 @@
 {
     m_members.clear();
     std::set<std::string> watched;
+    const std::size_t size = std::max(m_settings.smallestShare,
+                                      m_settings.size / std::max<std::size_t>(1, models.size()));
     for (const std::string &model : models) {
-        std::vector<SubsetMember> chosen = choose(rank(table, model, now));
+        std::vector<SubsetMember> chosen = choose(rank(table, model, now), size);
         for (const SubsetMember &member : chosen)
             watched.insert(member.upstream);
         m_members[model] = std::move(chosen);
--- /dev/null
+++ b/Libraries/LibMembership/ReportInterval.cpp
@@ -0,0 +1,17 @@
+#include "lavenderpick/Membership/ReportInterval.h"
+
+#include <algorithm>
+
+namespace Lavenderpick {
+
+Duration reportIntervalFor(std::size_t watchedAgents)
+{
+    // A report has about 150 bytes on the wire. 1,300 bytes/s of reports leave room for gossip,
+    // polls and changes of the document in the 2 KB/s that a node may receive for control.
+    constexpr std::size_t reportBytes = 150;
+    constexpr std::size_t reportBytesPerSecond = 1'300;
+    const Milliseconds interval(watchedAgents * reportBytes * 1'000 / reportBytesPerSecond);
+    return std::clamp<Duration>(interval, shortestReportInterval, longestReportInterval);
+}
+
+} // namespace Lavenderpick
--- a/Libraries/LibProtocol/Datagrams.cpp
+++ b/Libraries/LibProtocol/Datagrams.cpp
@@ -14,7 +14,8 @@
     return { { "t", "s" },
              { "e", subscribe.entry },
              { "a", subscribe.address },
-             { "v", subscribe.documentVersion } };
+             { "v", subscribe.documentVersion },
+             { "n", subscribe.reportIntervalMilliseconds } };
 }
 
 nlohmann::json toJson(const LoadReport &report)
@@ -58,6 +59,7 @@
         .entry = requireString(json, "e"),
         .address = requireString(json, "a"),
         .documentVersion = requireInteger(json, "v"),
+        .reportIntervalMilliseconds = optionalInteger(json, "n", 1000, 100, 60'000),
     };
 }
 
--- a/Services/Agent/LoadReporter.cpp
+++ b/Services/Agent/LoadReporter.cpp
@@ -1,5 +1,6 @@
 #include "Services/Agent/LoadReporter.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace Lavenderpick {
@@ -8,8 +9,8 @@
 
 // Entries renew every 4 s; three lost renewals end a subscription.
 constexpr Seconds subscriptionLife { 12 };
-constexpr Seconds shortestInterval { 1 };
-constexpr Seconds longestInterval { 4 };
+// An unchanged load is reported as a heartbeat.
+constexpr Duration heartbeatInterval { Seconds(4) };
 
 } // namespace
 
@@ -29,31 +30,43 @@
         return;
     const LoadReport report = makeReport(ownVersion);
     const std::lock_guard lock(m_mutex);
-    m_subscribers[subscribe->entry] = { .datagramAddress = sender,
-                                        .address = subscribe->address,
-                                        .documentVersion = subscribe->documentVersion,
-                                        .subscribedAt = m_clock.now() };
-    sendTo(sender, report);
+    Subscriber &subscriber = m_subscribers[subscribe->entry];
+    // An entry that restarted knows nothing yet; a renewal changes nothing that is due.
+    const bool isNew = subscriber.datagramAddress != sender;
+    subscriber.datagramAddress = sender;
+    subscriber.address = subscribe->address;
+    subscriber.documentVersion = subscribe->documentVersion;
+    subscriber.shortestInterval = Milliseconds(subscribe->reportIntervalMilliseconds);
+    subscriber.subscribedAt = m_clock.now();
+    if (isNew || isDue(subscriber, report, m_clock.now()))
+        sendTo(subscriber, report);
 }
 
 void LoadReporter::tick(std::int64_t ownVersion)
 {
     const TimePoint now = m_clock.now();
-    LoadReport report = makeReport(ownVersion);
+    const LoadReport report = makeReport(ownVersion);
     const std::lock_guard lock(m_mutex);
     std::erase_if(m_subscribers, [&](const auto &item) {
         return item.second.subscribedAt + subscriptionLife < now;
     });
+    for (auto &[entry, subscriber] : m_subscribers) {
+        if (isDue(subscriber, report, now))
+            sendTo(subscriber, report);
+    }
+}
+
+bool LoadReporter::isDue(const Subscriber &subscriber, const LoadReport &report, TimePoint now)
+{
     // The age of the engine's report always changes and is no news by itself.
-    LoadReport comparable = m_lastReport;
+    LoadReport comparable = subscriber.lastReport;
     comparable.ageMilliseconds = report.ageMilliseconds;
-    const Duration interval = comparable == report ? longestInterval : shortestInterval;
-    if (now - m_lastSent < interval)
-        return;
-    m_lastSent = now;
-    m_lastReport = report;
-    for (const auto &[entry, subscriber] : m_subscribers)
-        sendTo(subscriber.datagramAddress, report);
+    // Entries drop what they must not use at once, such as a draining upstream.
+    if (comparable.accepting != report.accepting)
+        return true;
+    const Duration heartbeat = std::max(heartbeatInterval, subscriber.shortestInterval);
+    return now - subscriber.reportedAt
+            >= (comparable == report ? heartbeat : subscriber.shortestInterval);
 }
 
 std::optional<LoadReporter::DocumentPeer> LoadReporter::latestDocument() const
@@ -89,10 +102,12 @@
 }
 
 // Called with the mutex held: sequence numbers must leave in their order.
-void LoadReporter::sendTo(const std::string &address, LoadReport report)
+void LoadReporter::sendTo(Subscriber &subscriber, LoadReport report)
 {
+    subscriber.reportedAt = m_clock.now();
+    subscriber.lastReport = report;
     report.sequence = ++m_sequence;
-    m_sender(address, encodeDatagram(report, m_identity.clusterKey));
+    m_sender(subscriber.datagramAddress, encodeDatagram(report, m_identity.clusterKey));
 }
 
 } // namespace Lavenderpick
--- a/Services/Agent/LoadReporter.h
+++ b/Services/Agent/LoadReporter.h
@@ -49,11 +49,16 @@
         std::string datagramAddress;
         std::string address;
         std::int64_t documentVersion { 0 };
+        Duration shortestInterval { Seconds(1) };
         TimePoint subscribedAt;
+        TimePoint reportedAt {};
+        LoadReport lastReport {};
     };
 
+    static bool isDue(const Subscriber &subscriber, const LoadReport &report, TimePoint now);
+
     LoadReport makeReport(std::int64_t ownVersion) const;
-    void sendTo(const std::string &address, LoadReport report);
+    void sendTo(Subscriber &subscriber, LoadReport report);
 
     Identity m_identity;
     UpstreamGate &m_gate;
@@ -61,8 +66,6 @@
     Sender m_sender;
     mutable std::mutex m_mutex;
     std::map<std::string, Subscriber> m_subscribers; ///< By entry name.
-    LoadReport m_lastReport;
-    TimePoint m_lastSent {};
     std::int64_t m_sequence { 0 };
 };
 
--- a/Services/Entry/AgentDirectory.cpp
+++ b/Services/Entry/AgentDirectory.cpp
@@ -1,5 +1,7 @@
 #include "Services/Entry/AgentDirectory.h"
 
+#include "lavenderpick/Membership/ReportInterval.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -114,6 +116,8 @@
     const bool reported = haveWatchedAgentsReported();
     m_subset.update(m_members, groups, now);
     m_heardFromAgents = m_heardFromAgents || (reported && document->version() > 0);
+    m_members.setReportInterval(std::max(m_context.settings.periods.subscribe,
+                                         reportIntervalFor(m_subset.watched().size())));
     m_outliers.setKnownUpstreams(m_subset.watched().size());
 }
 
--- a/Services/Entry/PeerExchange.cpp
+++ b/Services/Entry/PeerExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Base/Log.h"
+#include "lavenderpick/Membership/ReportInterval.h"
 
 namespace Lavenderpick {
 
@@ -29,12 +30,14 @@
 
 void PeerExchange::subscribe()
 {
+    const std::vector<std::string> addresses = m_directory.watchedDatagramAddresses();
     const Subscribe message {
         .entry = m_context.settings.name,
         .address = m_context.settings.address(),
         .documentVersion = m_context.replica.version(),
+        .reportIntervalMilliseconds = toMilliseconds(reportIntervalFor(addresses.size())),
     };
-    for (const std::string &address : m_directory.watchedDatagramAddresses())
+    for (const std::string &address : addresses)
         send(address, message);
 }
 
--- a/Tests/LibMembership/TestAgentSubset.cpp
+++ b/Tests/LibMembership/TestAgentSubset.cpp
@@ -1,5 +1,6 @@
 #include "lavenderpick/Membership/AgentSubset.h"
 #include "lavenderpick/Membership/GossipSchedule.h"
+#include "lavenderpick/Membership/ReportInterval.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -11,6 +12,9 @@
 const TimePoint start { Seconds(1'000) };
 const std::vector<std::string> models { "m0", "m1" };
 
+// 48 agents for each of the two models.
+const AgentSubsetSettings sharePerModel { .size = 96 };
+
 /// Two regions with three availability zones of 100 agents each; agents serve the models in turn.
 class Fleet
 {
@@ -110,7 +114,7 @@
 BOOST_AUTO_TEST_CASE(subset_refills_after_loss_and_return_of_a_zone)
 {
     Fleet fleet;
-    AgentSubset subset("e1", "near", "z0");
+    AgentSubset subset("e1", "near", "z0", sharePerModel);
     fleet.settle(subset, start);
     BOOST_TEST(countAt(subset, "m0", Distance::SameZone) == 32u);
     BOOST_TEST(countAt(subset, "m0", Distance::SameRegion) == 12u);
@@ -133,7 +137,7 @@
 BOOST_AUTO_TEST_CASE(subset_is_stable_under_churn)
 {
     Fleet fleet;
-    AgentSubset subset("e1", "near", "z0");
+    AgentSubset subset("e1", "near", "z0", sharePerModel);
     fleet.settle(subset, start);
     const std::set<std::string> before = serving(subset);
     fleet.remove(*before.begin());
@@ -152,7 +156,7 @@
     Fleet fleet;
     std::map<std::string, int> users;
     for (int number = 0; number < 30; ++number) {
-        AgentSubset subset("e" + std::to_string(number), "near", "z0");
+        AgentSubset subset("e" + std::to_string(number), "near", "z0", sharePerModel);
         fleet.settle(subset, start);
         for (const SubsetMember &member : subset.members("m0"))
             users[member.upstream] += member.distance == Distance::SameZone ? 1 : 0;
@@ -166,6 +170,21 @@
                == 50);
 }
 
+// Guards against control traffic that grows with the number of models or of watched agents.
+BOOST_AUTO_TEST_CASE(watched_agents_stay_within_the_traffic_budget)
+{
+    Fleet fleet;
+    AgentSubset subset("e1", "near", "z0");
+    fleet.settle(subset, start);
+    BOOST_TEST(subset.watched().size() <= 48u);
+    constexpr double bytesPerReport = 150;
+    for (const std::size_t watched : { 1u, 9u, 27u, 48u }) {
+        const double seconds = std::chrono::duration<double>(reportIntervalFor(watched)).count();
+        BOOST_TEST(static_cast<double>(watched) * bytesPerReport / seconds <= 1'301);
+        BOOST_TEST(seconds >= 1);
+    }
+}
+
 // Guards against gossip that always reaches the same peer, or this entry itself.
 BOOST_AUTO_TEST_CASE(gossip_reaches_every_peer)
 {
--- a/include/lavenderpick/Membership/AgentSubset.h
+++ b/include/lavenderpick/Membership/AgentSubset.h
@@ -27,11 +27,14 @@
 
 struct AgentSubsetSettings
 {
+    /// Agents watched in all. Models and services share them, since each watched agent costs
+    /// datagrams whatever it serves.
     std::size_t size { 48 };
-    /// Places kept for the rest of the region and for other regions, so that candidates are known
+    std::size_t smallestShare { 8 }; ///< For one model or service, also when there are many.
+    /// Shares kept for the rest of the region and for other regions, so that candidates are known
     /// when the own availability zone is lost. Places that stay empty go to the nearest agents.
-    std::size_t regionPlaces { 12 };
-    std::size_t farPlaces { 4 };
+    double regionShare { 0.25 };
+    double farShare { 1.0 / 12 };
     /// Agents watched at once to learn their models.
     std::size_t probes { 48 };
 };
@@ -62,7 +65,7 @@
 
     std::vector<Ranked> rank(const MemberTable &table, const std::string &model,
                              TimePoint now) const;
-    std::vector<SubsetMember> choose(const std::vector<Ranked> &ranked) const;
+    std::vector<SubsetMember> choose(const std::vector<Ranked> &ranked, std::size_t size) const;
     Distance distanceTo(const Vm &vm) const;
 
     std::string m_entry;
--- a/include/lavenderpick/Membership/MemberTable.h
+++ b/include/lavenderpick/Membership/MemberTable.h
@@ -53,6 +53,9 @@
 public:
     explicit MemberTable(const MemberTableSettings &settings = {});
 
+    /// The longest time between two reports of a live agent, as this entry asked for it.
+    void setReportInterval(Duration interval) { m_settings.reportInterval = interval; }
+
     /// Merges changes of the list. Changes with an older version than the last are ignored.
     void apply(const VmChanges &changes, TimePoint now);
 
--- a/include/lavenderpick/Protocol/Datagrams.h
+++ b/include/lavenderpick/Protocol/Datagrams.h
@@ -15,6 +15,8 @@
     std::string entry;
     std::string address; ///< Where the agent can fetch the document.
     std::int64_t documentVersion { 0 };
+    /// Shortest time between two reports, so that an entry's traffic does not grow with its subset.
+    std::int64_t reportIntervalMilliseconds { 1000 };
 
     bool operator==(const Subscribe &) const = default;
 };
