Http: Widen the kernel's backlog and name a passed deadline

Ruled out: a slow fake agent; the log shows one second between the two lines, the kernel's first retransmission. Change: the server listens again with 1,024; the relay checks deadline and caller before it names the last attempt's failure. Before: 25 of 100 connections of a burst were accepted within 0.5 s. After: 100 of 100. TestServiceEntry and TestLibHttp pass.

--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -5,12 +5,15 @@
 #include "lavenderpick/Base/Json.h"
 #include "lavenderpick/Base/Log.h"
 
+#include <sys/socket.h>
+
 namespace Lavenderpick {
 
 namespace {
 
 constexpr int internalServerErrorStatus = 500;
 constexpr std::size_t requestsPerConnection = 10'000;
+constexpr int kernelBacklog = 1'024;
 
 std::size_t headerBytes(const httplib::Request &request)
 {
@@ -43,6 +46,11 @@
 
 } // namespace
 
+void HttpServer::ListeningServer::widenBacklog(int connections)
+{
+    ::listen(svr_sock_, connections);
+}
+
 HttpServer::HttpServer(const HttpServerLimits &limits, Metrics &metrics)
     : m_metrics(metrics)
 {
@@ -71,6 +79,7 @@
     if (boundPort < 0)
         throw Error(ErrorKind::InvalidSettings, "Can't bind " + host + ":" + std::to_string(port),
                     "Choose a free port on an address of this VM.");
+    m_server.widenBacklog(kernelBacklog);
     m_thread = std::thread([this] { m_server.listen_after_bind(); });
     while (!m_server.is_running())
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
--- a/Services/Entry/CompletionRelay.cpp
+++ b/Services/Entry/CompletionRelay.cpp
@@ -160,9 +160,7 @@
         if (!run.refused)
             cancelAttempt(run);
         if (step == StreamStep::Fail || !prepareRetry(run))
-            return fail(run,
-                        run.problem.value_or(Problem { .reason = run.stream.failure(),
-                                                       .detail = "The upstream failed." }));
+            return failAfterAttempt(run);
     }
 }
 
@@ -382,6 +380,16 @@
              .upstream = run.target.upstream() };
 }
 
+CompletionOutcome CompletionRelay::failAfterAttempt(Run &run)
+{
+    // A deadline that passed in the meantime is the reason, whatever the last attempt met.
+    if (const auto problem = stopReason(run))
+        return fail(run, *problem);
+    return fail(run,
+                run.problem.value_or(Problem { .reason = run.stream.failure(),
+                                               .detail = "The upstream failed." }));
+}
+
 CompletionOutcome CompletionRelay::fail(Run &run, Problem problem)
 {
     problem.requestId = run.order.requestId;
--- a/Services/Entry/CompletionRelay.h
+++ b/Services/Entry/CompletionRelay.h
@@ -105,6 +105,7 @@
     std::optional<Problem> stopReason(Run &run) const;
     void cancelAttempt(const Run &run);
     CompletionOutcome finish(Run &run);
+    CompletionOutcome failAfterAttempt(Run &run);
     CompletionOutcome fail(Run &run, Problem problem);
 
     Settings m_settings;
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -5,6 +5,7 @@
 #include "lavenderpick/Http/MessageAuthenticator.h"
 #include "lavenderpick/Http/ServerSentEvents.h"
 
+#include <asio.hpp>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <vector>
@@ -112,6 +113,26 @@
         holder.join();
 }
 
+// Guards against bursts of connections that wait a second for a retransmitted SYN.
+BOOST_AUTO_TEST_CASE(burst_of_connections_is_not_delayed)
+{
+    RunningServer running({ .threads = 1, .waitingConnections = 0 });
+    asio::io_context context;
+    const asio::ip::tcp::endpoint server(asio::ip::make_address("127.0.0.1"),
+                                         static_cast<std::uint16_t>(running.port));
+    std::vector<asio::ip::tcp::socket> sockets;
+    int connected = 0;
+    for (int number = 0; number < 100; ++number)
+        sockets.emplace_back(context);
+    for (asio::ip::tcp::socket &socket : sockets)
+        socket.async_connect(server,
+                             [&](const std::error_code &error) { connected += error ? 0 : 1; });
+    context.run_for(Milliseconds(500));
+    BOOST_TEST(connected == 100);
+    for (asio::ip::tcp::socket &socket : sockets)
+        socket.close();
+}
+
 // Guards against a refusal that is answered but not counted.
 BOOST_AUTO_TEST_CASE(thrown_problem_is_answered_and_counted)
 {
--- a/include/lavenderpick/Http/HttpServer.h
+++ b/include/lavenderpick/Http/HttpServer.h
@@ -46,10 +46,18 @@
     void stop();
 
 private:
+    /// The library listens with room for five connections; a burst above that would wait for a
+    /// second until the peer's kernel tries again.
+    class ListeningServer : public httplib::Server
+    {
+    public:
+        void widenBacklog(int connections);
+    };
+
     void installErrorHandlers(const HttpServerLimits &limits);
 
     Metrics &m_metrics;
-    httplib::Server m_server;
+    ListeningServer m_server;
     std::thread m_thread;
 };
 
