--- a/Tests/Fuzz/FuzzMessages.cpp
+++ b/Tests/Fuzz/FuzzMessages.cpp
@@ -1,3 +1,4 @@
+#include "RoundTrip.h"
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Base/Json.h"
 #include "lavenderpick/Base/Problem.h"
@@ -9,23 +10,6 @@
 
 using namespace Lavenderpick;
 
-namespace {
-
-/// A message that parses must survive its own serialisation; anything else must throw `Error`.
-template <typename Message>
-void checkRoundTrip(const nlohmann::json &json)
-{
-    try {
-        const Message message = Message::parse(json);
-        if (!(Message::parse(message.toJson()) == message))
-            std::abort();
-    } catch (const Error &) {
-        return;
-    }
-}
-
-} // namespace
-
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     nlohmann::json json;
--- a/Tests/Fuzz/FuzzRecords.cpp
+++ b/Tests/Fuzz/FuzzRecords.cpp
@@ -1,3 +1,4 @@
+#include "RoundTrip.h"
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Base/Json.h"
 #include "lavenderpick/Platform/VmList.h"
@@ -9,22 +10,6 @@
 
 using namespace Lavenderpick;
 
-namespace {
-
-template <typename Record>
-void checkRoundTrip(const nlohmann::json &json)
-{
-    try {
-        const Record record = Record::parse(json);
-        if (!(Record::parse(record.toJson()) == record))
-            std::abort();
-    } catch (const Error &) {
-        return;
-    }
-}
-
-} // namespace
-
 // Rows that another release or a damaged store wrote must parse or give `Error`.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
