--- a/Tests/Processes/local_cluster.py
+++ b/Tests/Processes/local_cluster.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,6 +14,8 @@
 CLUSTER_KEY = "loopback-cluster-key-0123456789"
 MODEL = "lavender-1"
 TOKEN_BYTES = 4
+# Below the range from which the kernel takes ports for outgoing connections.
+PORTS = range(10000, 32000)
 FNV_OFFSET = 0xCBF29CE484222325
 
 
@@ -78,6 +81,16 @@
     return letters + " "
 
 
+def is_free(port):
+    try:
+        with socket.socket(type=socket.SOCK_DGRAM) as datagrams, socket.socket() as streams:
+            datagrams.bind(("127.0.0.1", port))
+            streams.bind(("127.0.0.1", port))
+        return True
+    except OSError:
+        return False
+
+
 class Cluster:
     """A platform, engines, a service, their agents and entries, each a process of its own."""
 
@@ -99,14 +112,8 @@
     def port(self, name):
         """A free port for both protocols, kept for the life of the cluster."""
         while name not in self.ports:
-            with socket.socket(type=socket.SOCK_DGRAM) as datagrams, socket.socket() as streams:
-                datagrams.bind(("127.0.0.1", 0))
-                port = datagrams.getsockname()[1]
-                try:
-                    streams.bind(("127.0.0.1", port))
-                except OSError:
-                    continue
-            if port not in self.ports.values():
+            port = random.choice(PORTS)
+            if port not in self.ports.values() and is_free(port):
                 self.ports[name] = port
         return self.ports[name]
 
