Limits: Take the wait of short prompts into account before lending freely

A customer is refused nothing while the fleet is idle, and idle was judged by the whole prefill backlog against 20 s; a flood of short prompts holds 2 s of it and yet raises their first token from 0.3 to 2.2 s. Change: shortPressure, the mean wait of short prompts over their aim of 0.35 s, counts beside the whole backlog for lending. Shedding is unchanged.

--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -293,19 +293,37 @@
                                       : std::vector<std::string> {};
 }
 
-double fleetPressure(const LoadView &loadView, std::span<const Candidate> candidates,
-                     double referenceSeconds, TimePoint now)
+namespace {
+
+/// The mean over the usable candidates of what `wait` reads from their load.
+double meanWait(const LoadView &loadView, std::span<const Candidate> candidates, TimePoint now,
+                double UpstreamLoad::*wait)
 {
-    double backlog = 0;
+    double sum = 0;
     int known = 0;
     for (const Candidate &candidate : candidates) {
         const UpstreamLoad load = loadView.load(candidate.upstream, now);
         if (!candidate.usable || !load.accepting)
             continue;
-        backlog += load.totalWaitSeconds;
+        sum += load.*wait;
         ++known;
     }
-    return known == 0 ? 0 : backlog / (known * referenceSeconds);
+    return known == 0 ? 0 : sum / known;
+}
+
+} // namespace
+
+double fleetPressure(const LoadView &loadView, std::span<const Candidate> candidates,
+                     double referenceSeconds, TimePoint now)
+{
+    return meanWait(loadView, candidates, now, &UpstreamLoad::totalWaitSeconds) / referenceSeconds;
+}
+
+double shortPressure(const LoadView &loadView, std::span<const Candidate> candidates, TimePoint now)
+{
+    constexpr double firstTokenAimSeconds = 0.35;
+    return meanWait(loadView, candidates, now, &UpstreamLoad::shortWaitSeconds)
+            / firstTokenAimSeconds;
 }
 
 } // namespace Lavenderpick
--- a/Services/Entry/AdmissionControl.cpp
+++ b/Services/Entry/AdmissionControl.cpp
@@ -81,12 +81,12 @@
     }
 }
 
-void AdmissionControl::adjust(double pressure, std::size_t entries)
+void AdmissionControl::adjust(const FleetLoad &load, std::size_t entries)
 {
     const std::lock_guard lock(m_mutex);
     m_budgets.setEntryCount(std::max<std::size_t>(entries, 1));
-    m_budgets.adjustLending(pressure, m_context.clock.now());
-    m_admission.setPressure(pressure);
+    m_budgets.adjustLending(std::max(load.pressure, load.shortPressure), m_context.clock.now());
+    m_admission.setPressure(load.pressure);
 }
 
 void AdmissionControl::fillGossip(Gossip &gossip)
--- a/Services/Entry/AdmissionControl.h
+++ b/Services/Entry/AdmissionControl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Services/Entry/AgentDirectory.h"
 #include "Services/Entry/CompletionRelay.h"
 #include "Services/Entry/EntryContext.h"
 #include "lavenderpick/Limits/Admission.h"
@@ -25,7 +26,7 @@
     void followDocument();
 
     /// Call once a second with the fleet's pressure and the number of entries.
-    void adjust(double pressure, std::size_t entries);
+    void adjust(const FleetLoad &load, std::size_t entries);
 
     void fillGossip(Gossip &gossip);
     void mergeGossip(const Gossip &received, Gossip *answer);
--- a/Services/Entry/AgentDirectory.cpp
+++ b/Services/Entry/AgentDirectory.cpp
@@ -300,7 +300,7 @@
         m_outliers.recordSuccess(upstream, m_context.clock.now());
 }
 
-double AgentDirectory::pressure() const
+FleetLoad AgentDirectory::fleetLoad() const
 {
     const auto document = m_context.replica.current();
     const std::lock_guard lock(m_mutex);
@@ -310,7 +310,8 @@
         for (Candidate &candidate : candidates(model, now))
             all.push_back(std::move(candidate));
     }
-    return fleetPressure(m_loadView, all, pressureReferenceSeconds, now);
+    return { .pressure = fleetPressure(m_loadView, all, pressureReferenceSeconds, now),
+             .shortPressure = shortPressure(m_loadView, all, now) };
 }
 
 nlohmann::json AgentDirectory::toJson() const
--- a/Services/Entry/AgentDirectory.h
+++ b/Services/Entry/AgentDirectory.h
@@ -18,6 +18,15 @@
 
 namespace Lavenderpick {
 
+/// Load of the fleet as one entry sees it; 1 is full.
+struct FleetLoad
+{
+    double pressure { 0 };      ///< Of all prefill work.
+    double shortPressure { 0 }; ///< Of the work that short prompts wait for.
+
+    bool operator==(const FleetLoad &) const = default;
+};
+
 /// The agents and entries that this entry knows, and the choice among them: the one lock around
 /// membership, routing, outliers and the retry budget. Safe for concurrent use; no call does I/O.
 class AgentDirectory final : public UpstreamSelector
@@ -72,8 +81,7 @@
                                    const std::vector<std::string> &tried);
     void recordServiceResult(const std::string &upstream, bool failed);
 
-    /// Mean utilisation of the fleet as seen here; 1 is full.
-    double pressure() const;
+    FleetLoad fleetLoad() const;
 
     nlohmann::json toJson() const;
 
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -106,7 +106,7 @@
     m_loop.every({ periods.gossip / 4, 0 }, [this] { m_exchange.gossip(); });
     m_loop.every({ adjustPeriod, timerJitter }, [this] {
         m_admission.followDocument();
-        m_admission.adjust(m_directory.pressure(), m_directory.entries().size());
+        m_admission.adjust(m_directory.fleetLoad(), m_directory.entries().size());
     });
     m_loop.every({ connectionSweep, timerJitter }, [this] { m_peers.closeOldConnections(); });
     m_loop.every({ pumpPeriod, 0 }, [this] { m_waitingRoom.pump(); });
--- a/Services/Load/EntryModel.cpp
+++ b/Services/Load/EntryModel.cpp
@@ -122,7 +122,7 @@
     refreshCandidates(now);
     const double pressure = fleetPressure(m_view, m_candidates, fullBacklogSeconds, now);
     m_admission.setPressure(pressure);
-    m_budgets.adjustLending(pressure, now);
+    m_budgets.adjustLending(std::max(pressure, shortPressure(m_view, m_candidates, now)), now);
 }
 
 RouteRequest EntryModel::routeRequest(const ModelRequest &request) const
--- a/Tests/LibRouting/TestRouter.cpp
+++ b/Tests/LibRouting/TestRouter.cpp
@@ -166,6 +166,29 @@
     BOOST_TEST(one.router.chooseGroup(request, one.candidates, start, 2).empty());
 }
 
+// Guards against a flood of short prompts that leaves the fleet "idle": its backlog is small beside
+// that of long prompts, so that budgets refused nobody.
+BOOST_AUTO_TEST_CASE(flood_of_short_prompts_raises_the_short_pressure)
+{
+    constexpr double fullBacklogSeconds = 20;
+    EntryView flooded;
+    EntryView reading;
+    for (int number = 0; number < 10; ++number) {
+        const std::string upstream = "u" + std::to_string(number);
+        LoadReport shorts = report(upstream, 40'000);
+        shorts.shortBacklog = 40'000;
+        flooded.view.observeReport(shorts, start);
+        LoadReport longs = report(upstream, 200'000);
+        longs.shortBacklog = 0;
+        reading.view.observeReport(longs, start);
+        flooded.candidates.push_back({ .upstream = upstream });
+        reading.candidates.push_back({ .upstream = upstream });
+    }
+    BOOST_TEST(fleetPressure(flooded.view, flooded.candidates, fullBacklogSeconds, start) < 0.2);
+    BOOST_TEST(shortPressure(flooded.view, flooded.candidates, start) > 1);
+    BOOST_TEST(shortPressure(reading.view, reading.candidates, start) < 0.1);
+}
+
 // Guards against trust in a cache that was evicted without an event, and against unbounded memory.
 BOOST_AUTO_TEST_CASE(prefix_index_tolerates_missing_events)
 {
--- a/include/lavenderpick/Routing/Router.h
+++ b/include/lavenderpick/Routing/Router.h
@@ -104,4 +104,9 @@
 double fleetPressure(const LoadView &loadView, std::span<const Candidate> candidates,
                      double referenceSeconds, TimePoint now);
 
+/// The same for the work that short prompts wait for: 1 is as much as keeps their first token at
+/// its aim. A flood of short prompts shows here long before it shows in the whole backlog.
+double shortPressure(const LoadView &loadView, std::span<const Candidate> candidates,
+                     TimePoint now);
+
 } // namespace Lavenderpick
