Entry: Keep an agent selectable for a repeat after a cancellation

Cause: EntryTest failed in a fresh clone. An agent answers unknown to attempts in its first two seconds, since it can't know what it refused before a restart; the entry cancels, and the repeat two seconds later found no agent, because the only one already counted as tried. It came to light as entries become ready faster. Two more faults of the same startup: an entry without a document subscribed with version 0, which agents took for the cluster's version; and the entry expected reports at its own subscription period although agents repeat an unchanged report after 4 s. Ruled out: lost or late reports (the agent was usable throughout) and a refusal by the agent (its counters were 0). Change: only a proven refusal rules an agent out; subscriptions wait for the document; both sides share the heartbeat's constant.

--- a/Services/Agent/LoadReporter.cpp
+++ b/Services/Agent/LoadReporter.cpp
@@ -1,5 +1,7 @@
 #include "Services/Agent/LoadReporter.h"
 
+#include "lavenderpick/Membership/ReportInterval.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -9,8 +11,6 @@
 
 // Entries renew every 4 s; three lost renewals end a subscription.
 constexpr Seconds subscriptionLife { 12 };
-// An unchanged load is reported as a heartbeat.
-constexpr Duration heartbeatInterval { Seconds(4) };
 
 } // namespace
 
@@ -64,7 +64,7 @@
     // Entries drop what they must not use at once, such as a draining upstream.
     if (comparable.accepting != report.accepting)
         return true;
-    const Duration heartbeat = std::max(heartbeatInterval, subscriber.shortestInterval);
+    const Duration heartbeat = std::max(reportHeartbeat, subscriber.shortestInterval);
     return now - subscriber.reportedAt
             >= (comparable == report ? heartbeat : subscriber.shortestInterval);
 }
--- a/Services/Entry/AgentDirectory.cpp
+++ b/Services/Entry/AgentDirectory.cpp
@@ -32,7 +32,6 @@
 
 AgentDirectory::AgentDirectory(const EntryContext &context)
     : m_context(context)
-    , m_members({ .reportInterval = context.settings.periods.subscribe })
     , m_subset(context.settings.name, context.settings.region, context.settings.availabilityZone,
                { .size = static_cast<std::size_t>(context.settings.subsetSize) })
     , m_gossipSchedule(context.settings.name, context.settings.periods.gossip)
@@ -116,8 +115,8 @@
     const bool reported = haveWatchedAgentsReported();
     m_subset.update(m_members, groups, now);
     m_heardFromAgents = m_heardFromAgents || (reported && document->version() > 0);
-    m_members.setReportInterval(std::max(m_context.settings.periods.subscribe,
-                                         reportIntervalFor(m_subset.watched().size())));
+    m_members.setReportInterval(
+            std::max(reportHeartbeat, reportIntervalFor(m_subset.watched().size())));
     m_outliers.setKnownUpstreams(m_subset.watched().size());
 }
 
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -142,7 +142,10 @@
 void EntryProcess::subscribe()
 {
     m_directory.refresh();
-    m_exchange.subscribe();
+    // Agents would take the version 0 of an entry without a document for the cluster's version and
+    // serve before they know services and plans.
+    if (m_replica.isReady())
+        m_exchange.subscribe();
 }
 
 std::vector<std::string> EntryProcess::peerAddresses() const
--- a/Services/Entry/ServiceCalls.cpp
+++ b/Services/Entry/ServiceCalls.cpp
@@ -148,15 +148,17 @@
                 sending.refusal = noAgent();
             return CallAnswer { .ran = Ran::No };
         }
-        sending.tried.push_back(target.upstream());
         CallRequest message = request;
         message.deadlineMilliseconds = toMilliseconds(deadline - m_context.clock.now());
         std::optional<CallAnswer> answer = sendTo(target, message, sending);
         const bool proven = answer && answer->ran == Ran::No && answer->state.empty();
         if (!proven || (sending.refusal && refusesEverywhere(sending.refusal->reason)))
             return answer;
+        // Only a refusal rules the agent out: a repeat after a cancellation may need it again.
+        sending.tried.push_back(target.upstream());
     }
-    return std::nullopt;
+    // Every agent that was tried has proven that it did not start the call.
+    return CallAnswer { .ran = Ran::No };
 }
 
 std::optional<CallAnswer> ServiceCalls::sendTo(const SelectedUpstream &target,
