Entry: Let a wait for a stream end just after the deadline

Ruled out: a fault of the fake agent; its script was used once. Change: the wait is a millisecond longer than the rest of the deadline.

--- a/Services/Entry/CompletionRelay.cpp
+++ b/Services/Entry/CompletionRelay.cpp
@@ -320,8 +320,10 @@
 
 Duration CompletionRelay::waitLimit(const Run &run) const
 {
-    return std::max<Duration>(shortestWait,
-                              std::min(m_settings.silence, run.order.deadline - m_clock.now()));
+    // Socket timeouts are cut to microseconds. A wait that ends just before the deadline would
+    // start a resume with no time left.
+    const Duration untilDeadline = run.order.deadline - m_clock.now() + Milliseconds(1);
+    return std::max<Duration>(shortestWait, std::min(m_settings.silence, untilDeadline));
 }
 
 bool CompletionRelay::prepareRetry(Run &run)
