--- /dev/null
+++ b/Libraries/LibForward/UpstreamDirectory.cpp
@@ -0,0 +1,101 @@
+#include "lavenderpick/Forward/UpstreamDirectory.h"
+
+#include <set>
+
+namespace Lavenderpick {
+
+void UpstreamDirectory::changed()
+{
+    ++m_generation;
+    m_ready.clear();
+}
+
+void UpstreamDirectory::put(const UpstreamRecord &record)
+{
+    Entry &entry = m_entries[record.id];
+    if (!entry.removed && entry.record == record)
+        return;
+    entry = { .record = record, .removed = false };
+    changed();
+}
+
+void UpstreamDirectory::remove(const std::string &id, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    // One that had said it leaves is not expected back.
+    if ((m_storeAway || now < m_graceEnds) && found->second.record.state == UpstreamState::Ready) {
+        found->second.removed = true;
+        return;
+    }
+    m_entries.erase(found);
+    changed();
+}
+
+void UpstreamDirectory::replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now)
+{
+    std::set<std::string> listed;
+    for (const UpstreamRecord &record : records) {
+        listed.insert(record.id);
+        put(record);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, entry] : m_entries) {
+        if (!listed.contains(id))
+            missing.push_back(id);
+    }
+    for (const std::string &id : missing)
+        remove(id, now);
+}
+
+void UpstreamDirectory::storeLost()
+{
+    m_storeAway = true;
+}
+
+void UpstreamDirectory::storeRegained(TimePoint now)
+{
+    if (!m_storeAway)
+        return;
+    m_storeAway = false;
+    m_graceEnds = now + returnGrace;
+}
+
+std::vector<std::string> UpstreamDirectory::expire(TimePoint now)
+{
+    std::vector<std::string> gone;
+    if (m_storeAway || now < m_graceEnds)
+        return gone;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.removed)
+            gone.push_back(id);
+    }
+    for (const std::string &id : gone)
+        m_entries.erase(id);
+    if (!gone.empty())
+        changed();
+    return gone;
+}
+
+const UpstreamRecord *UpstreamDirectory::find(const std::string &id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second.record;
+}
+
+const std::vector<const UpstreamRecord *> &
+UpstreamDirectory::ready(const std::string &service) const
+{
+    const auto known = m_ready.find(service);
+    if (known != m_ready.end())
+        return known->second;
+    std::vector<const UpstreamRecord *> &list = m_ready[service];
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.record.service == service && entry.record.state == UpstreamState::Ready)
+            list.push_back(&entry.record);
+    }
+    return list;
+}
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Forward/HttpMessage.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Lavenderpick {
+
+/// Whether two header names are the same; case does not matter.
+bool equalHeaderNames(std::string_view left, std::string_view right);
+
+struct HeaderField
+{
+    std::string name;
+    std::string value;
+
+    bool operator==(const HeaderField &) const = default;
+};
+
+/// The header fields of a message in their order.
+class HeaderList
+{
+public:
+    void add(std::string name, std::string value);
+
+    /// The first field's value, or null.
+    const std::string *find(std::string_view name) const;
+    std::size_t count(std::string_view name) const;
+    void removeAll(std::string_view name);
+
+    const std::vector<HeaderField> &fields() const { return m_fields; }
+
+    bool operator==(const HeaderList &) const = default;
+
+private:
+    std::vector<HeaderField> m_fields;
+};
+
+/// How the end of a message's body is found.
+enum class BodyFraming {
+    None,
+    Length,
+    Chunked,
+    UntilClose,
+};
+
+struct RequestHead
+{
+    std::string method;
+    std::string target; ///< Path and query as sent.
+    HeaderList headers;
+    BodyFraming framing { BodyFraming::None };
+    std::uint64_t contentLength { 0 };
+    bool keepAlive { true };
+    bool understandsChunks { true }; ///< HTTP/1.1 or later.
+
+    /// The target without its query.
+    std::string_view path() const;
+
+    /// The value of Host without its port.
+    std::string_view host() const;
+
+    bool operator==(const RequestHead &) const = default;
+};
+
+struct ResponseHead
+{
+    int status { 0 };
+    std::string reason;
+    HeaderList headers;
+    BodyFraming framing { BodyFraming::None };
+    std::uint64_t contentLength { 0 };
+    bool keepAlive { true };
+
+    bool isSuccess() const { return status >= 200 && status < 300; }
+
+    bool operator==(const ResponseHead &) const = default;
+};
+
+/// Whether a field belongs to one connection and must not be forwarded.
+bool isHopByHop(std::string_view name);
+
+/// Appends `headers` without the hop-by-hop fields, those that Connection lists, and Content-Length.
+void appendEndToEndHeaders(const HeaderList &headers, std::string &out);
+
+/// Appends the lines of the head that frame a body.
+void appendFraming(BodyFraming framing, std::uint64_t contentLength, std::string &out);
+
+void appendField(std::string_view name, std::string_view value, std::string &out);
+
+/// Appends `bytes` as one chunk of a chunked body; nothing for no bytes.
+void appendChunk(std::string_view bytes, std::string &out);
+
+/// Ends a chunked body.
+constexpr std::string_view lastChunk = "0\r\n\r\n";
+
+/// The standard reason phrase of a status that this program sends by itself.
+std::string_view reasonPhrase(int status);
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Forward/HttpParser.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "lavenderpick/Forward/HttpMessage.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Lavenderpick {
+
+/// Receives the parts of one message. A handler must not destroy the parser.
+class MessageListener
+{
+public:
+    virtual ~MessageListener() = default;
+
+    virtual void headParsed() = 0;
+    virtual void bodyParsed(std::string_view bytes) = 0;
+    virtual void messageParsed() = 0;
+};
+
+/// Splits a byte stream into HTTP/1.1 messages of one direction.
+///
+/// Strict: a message with a length and chunks, with two lengths, or with a bad chunk fails. Parsing
+/// stops at the end of each message, so that bytes behind it are never taken for a part of it.
+class HttpParser
+{
+public:
+    enum class Side {
+        Requests,
+        Responses,
+    };
+    enum class State {
+        Head,
+        Body,
+        Complete,
+        Failed,
+    };
+
+    HttpParser(Side side, MessageListener &listener);
+    ~HttpParser();
+
+    HttpParser(const HttpParser &) = delete;
+    HttpParser &operator=(const HttpParser &) = delete;
+
+    /// Parses up to the end of the message and returns how many bytes it took.
+    std::size_t feed(std::string_view bytes);
+
+    /// Tells the parser that the peer closed its side in order. Completes a body that ends with the
+    /// connection; returns false when the message was cut.
+    bool feedEnd();
+
+    /// Prepares for the next message. `toHeadRequest` marks a response that has no body.
+    void reset(bool toHeadRequest = false);
+
+    State state() const { return m_state; }
+    bool isIdle() const { return m_state == State::Head && m_headBytes == 0; }
+
+    /// Bytes of the current message's head so far.
+    std::size_t headBytes() const { return m_headBytes; }
+
+    /// What is wrong, when the state is Failed.
+    std::string failure() const;
+
+    /// Valid once the head was parsed.
+    RequestHead &request() { return m_request; }
+    ResponseHead &response() { return m_response; }
+
+private:
+    struct Callbacks;
+    friend struct Callbacks;
+    struct Implementation;
+
+    void finishHead();
+    void finishField();
+
+    std::unique_ptr<Implementation> m_implementation;
+    MessageListener &m_listener;
+    Side m_side;
+    State m_state { State::Head };
+    std::size_t m_headBytes { 0 };
+    bool m_toHeadRequest { false };
+    bool m_readingValue { false };
+    std::string m_fieldName;
+    std::string m_fieldValue;
+    RequestHead m_request;
+    ResponseHead m_response;
+};
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/include/lavenderpick/Forward/ServingConfiguration.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "lavenderpick/Base/Clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Lavenderpick {
+
+enum class RouteKind {
+    Safe,      ///< May run more than once.
+    Unsafe,    ///< May run at most once.
+    Streaming, ///< Answers with events; may be repeated only where the route is resumable.
+};
+
+/// A service that gets a share of a route's requests.
+struct RouteTarget
+{
+    std::string service;
+    double weight { 1 };
+
+    bool operator==(const RouteTarget &) const = default;
+};
+
+struct Route
+{
+    std::string name;
+    std::string host;
+    std::string prefix; ///< Begins and ends with a slash.
+    RouteKind kind { RouteKind::Unsafe };
+    bool resumable { false };  ///< A broken stream may go on at another upstream.
+    bool anonymous { false };  ///< Needs no customer's key.
+    Duration timeout {};       ///< From the arrival of a request to the end of its response.
+    Duration objective {};     ///< Latency objective, up to the first event of a stream.
+    Duration gapObjective {};  ///< Longest pause between events; zero where there is none.
+    int priority { 0 };        ///< 0 is served first.
+    int maximumUpstreams { 1 }; ///< That may run one request.
+    std::vector<RouteTarget> targets;
+
+    bool isIdempotent() const
+    {
+        return kind == RouteKind::Safe || (kind == RouteKind::Streaming && resumable);
+    }
+
+    bool operator==(const Route &) const = default;
+};
+
+/// Speeds and sizes of one service's model engines, as its operator publishes them.
+struct EngineParameters
+{
+    int batch { 1 };                    ///< Requests that an engine writes at once.
+    std::int64_t memoryTokens { 0 };    ///< Of prompts and answers together.
+    int strideTokens { 1 };             ///< Tokens of each request that a pass writes.
+    int chunkTokens { 1 };              ///< Prompt tokens that one step reads at most.
+    double stepMs { 1 };                ///< Fixed time of a step.
+    double stepMsPerWriter { 0 };
+    double stepMsPerContextThousand { 0 }; ///< Per writer and 1,000 tokens of its context.
+    double readTokensPerMs { 1 };
+    double readMsPerMillionPairs { 0 }; ///< Pairs of a prompt token and one before it.
+    double hopMs { 0 };                 ///< Added to a step that spans several engines.
+
+    bool operator==(const EngineParameters &) const = default;
+};
+
+struct ServiceProfile
+{
+    std::string name;
+    std::string healthPath;
+    int maximumConnections { 0 }; ///< At one upstream, from all gateways together.
+    std::optional<EngineParameters> engine {};
+
+    bool operator==(const ServiceProfile &) const = default;
+};
+
+struct Customer
+{
+    std::string name;
+    std::vector<std::string> keys;
+    std::optional<int> priority {}; ///< Replaces the route's.
+
+    bool operator==(const Customer &) const = default;
+};
+
+/// Bounds on what a caller may send.
+struct CallerLimits
+{
+    std::size_t headBytes { 16'384 };
+    std::size_t bodyBytes { 4'194'304 };
+    Duration headTimeout { Seconds(3) };
+    Duration idleTimeout { Seconds(15) };
+
+    bool operator==(const CallerLimits &) const = default;
+};
+
+/// The parts of a configuration, as a source decodes them.
+struct ServingConfigurationParts
+{
+    std::int64_t version { 0 };
+    std::vector<Route> routes;
+    std::vector<ServiceProfile> services;
+    std::optional<std::vector<Customer>> customers {}; ///< Empty where no request needs a key.
+    CallerLimits limits {};
+
+    bool operator==(const ServingConfigurationParts &) const = default;
+};
+
+/// One version of the operator's configuration, indexed for lookups. Immutable.
+class ServingConfiguration
+{
+public:
+    explicit ServingConfiguration(ServingConfigurationParts parts);
+
+    std::int64_t version() const { return m_parts.version; }
+    const CallerLimits &limits() const { return m_parts.limits; }
+    const std::vector<ServiceProfile> &services() const { return m_parts.services; }
+    std::size_t routeCount() const { return m_parts.routes.size(); }
+    bool requiresKeys() const { return m_parts.customers.has_value(); }
+
+    /// The route of the host with the longest prefix of the path, or null.
+    const Route *findRoute(std::string_view host, std::string_view path) const;
+    const ServiceProfile *findService(const std::string &name) const;
+
+    /// The customer that holds the key, or null.
+    const Customer *findCustomer(const std::string &key) const;
+
+    bool operator==(const ServingConfiguration &other) const { return m_parts == other.m_parts; }
+
+private:
+    ServingConfigurationParts m_parts;
+    std::unordered_map<std::string, std::size_t> m_routes; ///< By host and prefix, joined.
+    std::unordered_map<std::string, std::size_t> m_services;
+    std::unordered_map<std::string, std::size_t> m_customers; ///< By key.
+};
+
+} // namespace Lavenderpick
