--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -60,24 +60,21 @@
     return weight * m_settings.nearnessShare * ratio * ratio;
 }
 
-double Placer::harm(const Candidate &candidate, double readMs, const EngineParameters &engine,
-                    TimePoint now) const
+double Placer::harm(const Candidate &candidate, double readMs, TimePoint now) const
 {
-    // A pass that writes reads at most a chunk in each of its steps.
-    const double passReadLimitMs =
-            static_cast<double>(engine.strideTokens) * engine.chunkTokens / engine.readTokensPerMs;
-    const double before = candidate.writingPassMs + std::min(candidate.waitMs, passReadLimitMs);
-    const double after =
-            candidate.writingPassMs + std::min(candidate.waitMs + readMs, passReadLimitMs);
+    // A pass that writes may read all prompts that wait, and its events leave at its end.
+    const double before = candidate.writingPassMs + candidate.waitMs + m_settings.gapMarginMs;
+    const double after = before + readMs;
     double harmed = 0;
     for (const auto &[key, work] : candidate.load->open()) {
-        if (work.reading || work.gapObjective == Duration {})
+        double allowedMs = toMs(work.gapObjective);
+        if (work.reading)
+            allowedMs = toMs(work.firstDue - now);
+        else if (work.gapObjective == Duration {})
             continue;
-        const double gapMs = toMs(work.gapObjective);
-        if (after > gapMs && before <= gapMs)
+        if (after > allowedMs && before <= allowedMs)
             harmed += work.weight * m_settings.lateShare;
     }
-    static_cast<void>(now);
     return harmed;
 }
 
@@ -93,8 +90,8 @@
         const auto open = static_cast<int>(candidate.load->open().size());
         if (open >= engine.batch)
             candidate.firstMs += toMs(Seconds(1)) * (1 + open - engine.batch);
-        candidate.cost = latenessCost(candidate.firstMs, request)
-                + harm(candidate, partMs, engine, now) + candidate.bias;
+        candidate.harm = harm(candidate, partMs, now);
+        candidate.cost = latenessCost(candidate.firstMs, request) + candidate.harm + candidate.bias;
     }
     const auto count = static_cast<std::size_t>(parts);
     std::partial_sort(candidates.begin(), candidates.begin() + parts, candidates.end(),
@@ -113,7 +110,8 @@
     for (std::size_t index = 0; index < count; ++index) {
         const Candidate &candidate = candidates[index];
         firstMs = std::max(firstMs, candidate.firstMs);
-        shared += candidate.cost - latenessCost(candidate.firstMs, request);
+        shared += candidate.harm + candidate.bias;
+        decision.harm += candidate.harm;
         PlacedPart part { .upstream = candidate.record->id,
                           .readMs = partMs,
                           .writes = index == 0 };
@@ -147,7 +145,7 @@
 {
     std::vector<Candidate> all = candidates(request, engine, upstreams, ledger, now);
     std::optional<PlacementDecision> best;
-    constexpr std::array partCounts { 1, 2, 3, 4, 6, 8, 12 };
+    constexpr std::array partCounts { 1, 2, 3, 4, 6, 8, 11, 14, 17 };
     const std::int64_t needed = request.size.promptTokens + request.size.maximumOutputTokens;
     const bool splits = needed > engine.memoryTokens / 2
             || readMs(engine, request.size.promptTokens, 1) >= m_settings.minimumSplitMs;
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -26,6 +26,9 @@
 constexpr Duration defaultRetryAfter { Milliseconds(300) };
 // Forgets a placement that never ends by itself; above the longest route timeout.
 constexpr Duration placementSlack { Seconds(2) };
+// A waiting request is placed so much before it would be late: its turn comes every 10 ms, and a
+// pass of its engine takes some 50 ms.
+constexpr Duration placementMargin { Milliseconds(80) };
 // Callers abandon a stream whose first event is later than the longest of these.
 constexpr Duration leastStreamPatience { Seconds(2) };
 constexpr int objectivePatience = 4;
@@ -72,6 +75,7 @@
 
 Exchange::~Exchange()
 {
+    stopWaiting();
     m_state.bufferedBytes -= m_body ? m_body->size() : 0;
     --m_state.openRequests;
 }
@@ -170,11 +174,12 @@
         failRequest("deadline");
         return;
     }
-    placeOrRefuse(m_configuration->findService(m_service));
+    place();
 }
 
-void Exchange::placeOrRefuse(const ServiceProfile *profile)
+void Exchange::place()
 {
+    const ServiceProfile *profile = m_configuration->findService(m_service);
     const std::vector<const UpstreamRecord *> upstreams = usableUpstreams();
     const TimePoint now = m_state.clock.now();
     const PlacementRequest request = placementRequest();
@@ -184,16 +189,11 @@
     else
         m_decision = m_state.placer.placeCall(request, upstreams, m_state.ledger, now);
     if (!m_decision.isPlaced()) {
-        if (m_possibleRuns > 0 || m_headSent)
-            failRequest("no_upstream");
-        else if (m_decision.retryAfter)
-            refuse(503, RefusalReason::QueueFull, "No upstream can answer in time.",
-                   m_decision.retryAfter);
-        else
-            refuse(503, RefusalReason::NoUpstream, "No upstream of the service is ready.",
-                   defaultRetryAfter);
+        refuseUnplaced();
         return;
     }
+    if (waitForBetterPlace())
+        return;
     m_decision.placement.expires = m_deadline + placementSlack;
     m_placement = m_state.beginPlacement(m_decision.placement);
     if (m_decision.reservations.empty()) {
@@ -213,6 +213,45 @@
     });
 }
 
+bool Exchange::waitForBetterPlace()
+{
+    const TimePoint now = m_state.clock.now();
+    const TimePoint due = m_arrived + m_route->objective;
+    const auto read = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(m_decision.predictedFirstMs));
+    const TimePoint latestStart = due - read - placementMargin;
+    if (m_decision.harm <= 0 || now >= latestStart)
+        return false;
+    m_waitingId = m_state.waiting.add(*this, latestStart);
+    return true;
+}
+
+void Exchange::tryAgain()
+{
+    const auto self = shared_from_this();
+    m_waitingId.reset();
+    dispatch();
+}
+
+void Exchange::stopWaiting()
+{
+    if (m_waitingId)
+        m_state.waiting.remove(*m_waitingId);
+    m_waitingId.reset();
+}
+
+void Exchange::refuseUnplaced()
+{
+    if (m_possibleRuns > 0 || m_headSent)
+        failRequest("no_upstream");
+    else if (m_decision.retryAfter)
+        refuse(503, RefusalReason::QueueFull, "No upstream can answer in time.",
+               m_decision.retryAfter);
+    else
+        refuse(503, RefusalReason::NoUpstream, "No upstream of the service is ready.",
+               defaultRetryAfter);
+}
+
 void Exchange::sendAttempt()
 {
     const UpstreamRecord *record = m_state.upstreams.find(m_decision.upstream);
@@ -324,6 +363,7 @@
     const std::string events = m_events.take(bytes);
     if (events.empty())
         return;
+    recordEventTimes();
     if (!m_firstByteSeen) {
         m_firstByteSeen = true;
         if (m_placement)
@@ -336,6 +376,16 @@
     writeBody(events);
 }
 
+void Exchange::recordEventTimes()
+{
+    const TimePoint now = m_state.clock.now();
+    if (m_lastEventAt == TimePoint {})
+        m_firstEventAfter = now - m_arrived;
+    else
+        m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
+    m_lastEventAt = now;
+}
+
 void Exchange::beginResponse()
 {
     if (m_headSent)
@@ -594,6 +644,9 @@
         { { "request_id", m_requestId },
           { "status", status },
           { "upstream", m_decision.upstream },
+          { "first_event_ms", roundedMs(m_firstEventAfter) },
+          { "longest_gap_ms", roundedMs(m_longestGap) },
+          { "events", m_events.eventCount() },
           { "elapsed_ms", roundedMs(m_state.clock.now() - m_arrived) } });
     const bool keepAlive =
             m_head.keepAlive && !m_state.stopping && m_callerFraming != BodyFraming::UntilClose;
@@ -605,10 +658,11 @@
     if (m_done)
         return;
     m_done = true;
+    stopWaiting();
     if (m_connection) {
         m_connection->abandon();
         m_connection.reset();
-        logAttempt("caller left", "");
+        logAttempt("caller left", m_firstByteSeen ? "after_first_event" : "before_first_event");
     }
     endAttempt();
     m_state.metrics.countRefusal(RefusalReason::Cancelled);
@@ -627,6 +681,7 @@
         if (m_connection)
             m_connection->abandon();
         m_connection.reset();
+        stopWaiting();
         endAttempt();
         failRequest("deadline");
         return;
@@ -648,7 +703,7 @@
         fields["cause"] = cause;
     if (m_size) {
         fields["tokens"] = m_size->promptTokens;
-        fields["helpers"] = m_decision.helpers.size();
+        fields["helpers"] = m_decision.helpers;
         fields["predicted_ms"] = std::round(m_decision.predictedFirstMs);
     }
     log(LogLevel::Info, "exchange", message, fields);
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -17,7 +17,9 @@
 ///
 /// A request that may not be repeated is sent again only after a proof that it has not run. A
 /// response of 503 or 408 is sent only where that is proved for every upstream it was sent to.
-class Exchange : public std::enable_shared_from_this<Exchange>, private ResponseListener
+class Exchange : public std::enable_shared_from_this<Exchange>,
+                 private ResponseListener,
+                 private WaitingRequest
 {
 public:
     Exchange(GatewayState &state, CallerStream &caller, RequestHead head, std::string body);
@@ -47,7 +49,11 @@
     void readDeadline();
     void dispatch();
     std::string chooseService() const;
-    void placeOrRefuse(const ServiceProfile *profile);
+    void tryAgain() override;
+    bool waitForBetterPlace();
+    void stopWaiting();
+    void refuseUnplaced();
+    void place();
     PlacementRequest placementRequest() const;
     std::vector<const UpstreamRecord *> usableUpstreams() const;
     void sendAttempt();
@@ -61,6 +67,7 @@
     void requestFailed(ConnectionFailure failure) override;
 
     void forwardEvents(std::string_view bytes);
+    void recordEventTimes();
     void beginResponse();
     void writeBody(std::string_view bytes);
     void finishForwarding();
@@ -96,6 +103,7 @@
     std::optional<GenerationSize> m_size;
 
     PlacementDecision m_decision;
+    std::optional<std::uint64_t> m_waitingId;
     std::optional<PlacementKey> m_placement;
     std::shared_ptr<MemoryReserver> m_reserver;
     std::shared_ptr<HttpConnection> m_connection;
@@ -112,6 +120,9 @@
     BodyFraming m_callerFraming { BodyFraming::None };
     std::string m_buffer; ///< Of a response that is not begun yet.
     EventSplitter m_events;
+    Duration m_firstEventAfter {}; ///< From the arrival of the request.
+    Duration m_longestGap {};      ///< Between events.
+    TimePoint m_lastEventAt {};
     bool m_done { false };
 };
 
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -30,6 +30,7 @@
     , retries(settings.retries)
     , outliers(outlierSettings())
     , pool(contextToUse, clockToRead)
+    , waiting(contextToUse)
 { }
 
 std::size_t GatewayState::maximumBufferedBytes() const
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -2,6 +2,7 @@
 
 #include "Services/Gateway/GatewaySettings.h"
 #include "Services/Gateway/UpstreamPool.h"
+#include "Services/Gateway/WaitingRequests.h"
 #include "lavenderpick/Base/Metrics.h"
 #include "lavenderpick/Forward/LoadLedger.h"
 #include "lavenderpick/Forward/Placer.h"
@@ -47,6 +48,7 @@
     RetryWindow retries;
     OutlierDetector outliers;
     UpstreamPool pool;
+    WaitingRequests waiting;
     Metrics metrics;
     PlacementObserver *placementObserver { nullptr };
 
--- /dev/null
+++ b/Services/Gateway/WaitingRequests.cpp
@@ -0,0 +1,47 @@
+#include "Services/Gateway/WaitingRequests.h"
+
+namespace Lavenderpick {
+
+std::uint64_t WaitingRequests::add(WaitingRequest &request, TimePoint latestStart)
+{
+    const std::uint64_t id = ++m_lastId;
+    m_queue.add(id, latestStart);
+    m_requests[id] = &request;
+    schedule();
+    return id;
+}
+
+void WaitingRequests::remove(std::uint64_t id)
+{
+    m_queue.remove(id);
+    m_requests.erase(id);
+}
+
+void WaitingRequests::schedule()
+{
+    if (m_scheduled || m_queue.isEmpty())
+        return;
+    m_scheduled = true;
+    m_timer.expires_after(period);
+    m_timer.async_wait([this](const asio::error_code &error) {
+        m_scheduled = false;
+        if (error)
+            return;
+        askAll();
+        schedule();
+    });
+}
+
+void WaitingRequests::askAll()
+{
+    for (const std::uint64_t id : m_queue.inOrder()) {
+        const auto found = m_requests.find(id);
+        if (found == m_requests.end())
+            continue; // Left while an earlier one was asked.
+        WaitingRequest *request = found->second;
+        remove(id);
+        request->tryAgain();
+    }
+}
+
+} // namespace Lavenderpick
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -40,6 +40,7 @@
     Placement placement;           ///< For the ledger.
     double predictedFirstMs { 0 }; ///< Until the first event.
     double cost { 0 };
+    double harm { 0 }; ///< Weight of the requests of others that it would make late.
     /// When nothing can be chosen: how long until a place may be free. Empty when there is no
     /// upstream at all.
     std::optional<Duration> retryAfter {};
@@ -56,10 +57,12 @@
     double spreadShare { 0.02 };     ///< Weight of the open requests; spreads equal choices.
     double otherZoneShare { 0.004 }; ///< Weight of crossing zones: bytes between zones cost.
     double jitterShare { 0.004 };    ///< Keeps gateways with equal views apart.
-    double splitShare { 0.003 };     ///< Cost of each helper, since one that fails fails all.
+    double splitShare { 0.001 };     ///< Cost of each helper, since one that fails fails all.
     double memoryShare { 0.95 };     ///< Of an engine's memory; the rest covers what is not seen.
     double minimumSplitMs { 120 };   ///< Shorter prompts are read by one engine.
-    int maximumParts { 12 };         ///< The engines accept 16 helpers.
+    int maximumParts { 17 };         ///< The engines accept 16 helpers.
+    /// Kept free of the pause that a stream allows, for what the formula does not cover.
+    double gapMarginMs { 12 };
 };
 
 /// Chooses upstreams for the mix of short and very long prompts.
@@ -99,6 +102,7 @@
         double writingPassMs { 0 };
         double bias { 0 }; ///< Spread, zone and jitter.
         double cost { 0 };
+        double harm { 0 };
         double firstMs { 0 };
         std::int64_t freeTokens { 0 };
     };
@@ -108,8 +112,7 @@
                                       const std::vector<const UpstreamRecord *> &upstreams,
                                       const LoadLedger &ledger, TimePoint now) const;
     double latenessCost(double firstMs, const PlacementRequest &request) const;
-    double harm(const Candidate &candidate, double readMs, const EngineParameters &engine,
-                TimePoint now) const;
+    double harm(const Candidate &candidate, double readMs, TimePoint now) const;
     std::optional<PlacementDecision> placeParts(const PlacementRequest &request,
                                                 const EngineParameters &engine,
                                                 std::vector<Candidate> &candidates, int parts,
