--- a/Libraries/LibForward/LoadLedger.cpp
+++ b/Libraries/LibForward/LoadLedger.cpp
@@ -23,6 +23,16 @@
     return m_readUntil > now ? toMs(m_readUntil - now) : 0;
 }
 
+Duration UpstreamLoad::tightestGap() const
+{
+    Duration tightest = Duration::max();
+    for (const auto &[key, work] : m_open) {
+        if (work.writes && work.gapObjective > Duration {})
+            tightest = std::min(tightest, work.gapObjective);
+    }
+    return tightest;
+}
+
 void UpstreamLoad::add(const PlacementKey &key, const OpenWork &work, TimePoint now)
 {
     OpenWork added = work;
--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -32,6 +32,7 @@
             continue;
         const UpstreamLoad &load = ledger.load(record->id);
         const double otherZone = record->availabilityZone == request.availabilityZone ? 0 : 1;
+        const double firstTight = request.gapObjective < load.tightestGap() ? 1 : 0;
         const double places = std::max(1, record->capacity);
         const auto memory = static_cast<std::int64_t>(static_cast<double>(engine.memoryTokens)
                                                       * m_settings.memoryShare);
@@ -42,6 +43,7 @@
                 .writingPassMs = writingPassMs(engine, load.writers(), load.contextTokens()),
                 .bias = weight
                         * (m_settings.spreadShare * static_cast<double>(load.open().size()) / places
+                           + m_settings.firstTightShare * firstTight
                            + m_settings.otherZoneShare * otherZone
                            + m_settings.jitterShare * m_random.unit()),
                 .freeTokens = memory - load.memoryTokens(),
--- a/include/lavenderpick/Forward/LoadLedger.h
+++ b/include/lavenderpick/Forward/LoadLedger.h
@@ -67,6 +67,9 @@
     std::int64_t memoryTokens() const { return m_memoryTokens; }
     bool isIdle() const { return m_open.empty(); }
 
+    /// The shortest pause that a stream here allows; the longest duration where there is none.
+    Duration tightestGap() const;
+
     /// Milliseconds until the prompts that are open now are read.
     double readWaitMs(TimePoint now) const;
 
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -54,7 +54,10 @@
     double lateShare { 0.75 };
     /// Rise of the cost as the first event nears its objective; separates choices that all keep it.
     double nearnessShare { 0.3 };
-    double spreadShare { 0.02 };     ///< Weight of the open requests; spreads equal choices.
+    double spreadShare { 0.02 }; ///< Weight of the open requests; spreads equal choices.
+    /// Cost of being the first stream with so short a pause at an upstream, which then can't read
+    /// long prompts. Gathers short requests, so that the other upstreams stay free for long ones.
+    double firstTightShare { 0.1 };
     double otherZoneShare { 0.004 }; ///< Weight of crossing zones: bytes between zones cost.
     double jitterShare { 0.004 };    ///< Keeps gateways with equal views apart.
     double splitShare { 0.001 };     ///< Cost of each helper, since one that fails fails all.
