--- a/Libraries/LibForward/LoadLedger.cpp
+++ b/Libraries/LibForward/LoadLedger.cpp
@@ -33,9 +33,16 @@
     return tightest;
 }
 
+double UpstreamLoad::readStretchMs(TimePoint now) const
+{
+    return m_readUntil > now ? toMs(m_readUntil - m_readSince) : 0;
+}
+
 void UpstreamLoad::add(const PlacementKey &key, const OpenWork &work, TimePoint now)
 {
     OpenWork added = work;
+    if (m_readUntil <= now)
+        m_readSince = now;
     m_readUntil = std::max(now, m_readUntil) + fromMs(work.readMs);
     added.readUntil = m_readUntil;
     m_open[key] = added;
--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -42,7 +42,9 @@
                 .waitMs = load.readWaitMs(now),
                 .writingPassMs = writingPassMs(engine, load.writers(), load.contextTokens()),
                 .bias = weight
-                        * (m_settings.spreadShare * static_cast<double>(load.open().size()) / places
+                        * (m_settings.fillShare
+                                   * std::max(0.0,
+                                              1 - static_cast<double>(load.open().size()) / places)
                            + m_settings.firstTightShare * firstTight
                            + m_settings.otherZoneShare * otherZone
                            + m_settings.jitterShare * m_random.unit()),
@@ -65,16 +67,15 @@
 double Placer::harm(const Candidate &candidate, double readMs, TimePoint now) const
 {
     // A pass that writes may read all prompts that wait, and its events leave at its end.
-    const double before = candidate.writingPassMs + candidate.waitMs + m_settings.gapMarginMs;
-    const double after = before + readMs;
+    const double passMs = candidate.writingPassMs + m_settings.gapMarginMs;
+    const double stretchMs = candidate.load->readStretchMs(now);
     double harmed = 0;
     for (const auto &[key, work] : candidate.load->open()) {
-        double allowedMs = toMs(work.gapObjective);
-        if (work.reading)
-            allowedMs = toMs(work.firstDue - now);
-        else if (work.gapObjective == Duration {})
+        if (!work.reading && work.gapObjective == Duration {})
             continue;
-        if (after > allowedMs && before <= allowedMs)
+        const double allowedMs = work.reading ? toMs(work.firstDue - now) : toMs(work.gapObjective);
+        const double before = passMs + (work.reading ? candidate.waitMs : stretchMs);
+        if (before + readMs > allowedMs && before <= allowedMs)
             harmed += work.weight * m_settings.lateShare;
     }
     return harmed;
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -704,6 +704,9 @@
     if (m_size) {
         fields["tokens"] = m_size->promptTokens;
         fields["helpers"] = m_decision.helpers;
+        fields["open"] = m_state.ledger.size();
+        fields["busy_upstreams"] = m_state.ledger.busyUpstreams();
+        fields["harm"] = std::round(m_decision.harm);
         fields["predicted_ms"] = std::round(m_decision.predictedFirstMs);
     }
     log(LogLevel::Info, "exchange", message, fields);
--- a/include/lavenderpick/Forward/LoadLedger.h
+++ b/include/lavenderpick/Forward/LoadLedger.h
@@ -73,6 +73,10 @@
     /// Milliseconds until the prompts that are open now are read.
     double readWaitMs(TimePoint now) const;
 
+    /// Milliseconds of the whole stretch of reading that goes on now, past and to come. A pass
+    /// takes in prompts that arrive while it reads, and the streams' events leave at its end.
+    double readStretchMs(TimePoint now) const;
+
 private:
     friend class LoadLedger;
 
@@ -85,6 +89,7 @@
     int m_writers { 0 };
     std::int64_t m_contextTokens { 0 };
     std::int64_t m_memoryTokens { 0 };
+    TimePoint m_readSince {};
     TimePoint m_readUntil {};
 };
 
@@ -110,6 +115,7 @@
 
     const UpstreamLoad &load(const std::string &upstream) const;
     std::size_t size() const { return m_placements.size(); }
+    std::size_t busyUpstreams() const { return m_loads.size(); }
 
 private:
     std::map<PlacementKey, Placement> m_placements;
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -54,7 +54,9 @@
     double lateShare { 0.75 };
     /// Rise of the cost as the first event nears its objective; separates choices that all keep it.
     double nearnessShare { 0.3 };
-    double spreadShare { 0.02 }; ///< Weight of the open requests; spreads equal choices.
+    /// Cost of the places that are free at an upstream. Fills upstreams one after the other, so
+    /// that the others run empty when long prompts take over.
+    double fillShare { 0.05 };
     /// Cost of being the first stream with so short a pause at an upstream, which then can't read
     /// long prompts. Gathers short requests, so that the other upstreams stay free for long ones.
     double firstTightShare { 0.1 };
@@ -103,7 +105,7 @@
         const UpstreamLoad *load { nullptr };
         double waitMs { 0 }; ///< Until what is open there is read.
         double writingPassMs { 0 };
-        double bias { 0 }; ///< Spread, zone and jitter.
+        double bias { 0 }; ///< Fill, zone and jitter.
         double cost { 0 };
         double harm { 0 };
         double firstMs { 0 };
