--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -12,6 +12,8 @@
 
 // Resolution of all timeouts; the tightest bound on them is half a second.
 constexpr Milliseconds sweepPeriod { 50 };
+// The balancer asks once a second and takes a VM out after two misses.
+constexpr Duration acceptAfterStop { Milliseconds(2'500) };
 // Kept from the grace of a stop for the process's own end.
 constexpr Duration stopReserve { Milliseconds(400) };
 
@@ -98,10 +100,21 @@
     for (const auto &connection : connections)
         connection->checkTimeouts(now);
     std::erase_if(m_connections, [](const auto &connection) { return !connection->isOpen(); });
-    if (!m_state.stopping)
-        return;
+    if (m_state.stopping)
+        continueStop(now);
+}
+
+void GatewayProcess::continueStop(TimePoint now)
+{
+    if (now - m_stopBegan >= acceptAfterStop) {
+        // A request that is taken later might not be finished.
+        asio::error_code ignored;
+        m_acceptor.close(ignored);
+        for (const auto &connection : m_connections)
+            connection->closeIfIdle();
+    }
     const bool graceEnds = now - m_stopBegan + stopReserve >= m_state.settings.stopGrace;
-    if (m_connections.empty() || graceEnds)
+    if ((m_connections.empty() && !m_acceptor.is_open()) || graceEnds)
         m_context.stop();
 }
 
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -29,6 +29,7 @@
     void waitForSignals();
     void reloadSettings();
     void beginStop();
+    void continueStop(TimePoint now);
     bool isReady() const;
     LocalResponse answerPeer(const std::string &target);
 
