--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 
 namespace Lavenderpick {
 
@@ -41,13 +42,14 @@
                 .load = &load,
                 .waitMs = load.readWaitMs(now),
                 .writingPassMs = writingPassMs(engine, load.writers(), load.contextTokens()),
-                .bias = weight
+                .readBias = weight
+                        * (m_settings.otherZoneShare * otherZone
+                           + m_settings.jitterShare * m_random.unit()),
+                .writeBias = weight
                         * (m_settings.fillShare
                                    * std::max(0.0,
                                               1 - static_cast<double>(load.open().size()) / places)
-                           + m_settings.firstTightShare * firstTight
-                           + m_settings.otherZoneShare * otherZone
-                           + m_settings.jitterShare * m_random.unit()),
+                           + m_settings.firstTightShare * firstTight),
                 .freeTokens = memory - load.memoryTokens(),
         });
     }
@@ -94,26 +96,32 @@
         if (open >= engine.batch)
             candidate.firstMs += toMs(Seconds(1)) * (1 + open - engine.batch);
         candidate.harm = harm(candidate, partMs, now);
-        candidate.cost = latenessCost(candidate.firstMs, request) + candidate.harm + candidate.bias;
+        candidate.cost = latenessCost(candidate.firstMs, request) + candidate.harm
+                + candidate.readBias + (parts == 1 ? candidate.writeBias : 0);
     }
     const auto count = static_cast<std::size_t>(parts);
     std::partial_sort(candidates.begin(), candidates.begin() + parts, candidates.end(),
                       [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
-    // The engine with most free memory answers and holds what is not reserved elsewhere.
+    const std::int64_t needed = request.size.promptTokens + request.size.maximumOutputTokens;
+    // One that holds the whole prompt answers; where none does, the one that holds most of it.
     std::iter_swap(candidates.begin(),
-                   std::max_element(candidates.begin(), candidates.begin() + parts,
-                                    [](const Candidate &a, const Candidate &b) {
-                                        return a.freeTokens < b.freeTokens;
+                   std::min_element(candidates.begin(), candidates.begin() + parts,
+                                    [needed](const Candidate &a, const Candidate &b) {
+                                        const std::int64_t missingA =
+                                                std::max<std::int64_t>(0, needed - a.freeTokens);
+                                        const std::int64_t missingB =
+                                                std::max<std::int64_t>(0, needed - b.freeTokens);
+                                        return std::tie(missingA, a.writeBias)
+                                                < std::tie(missingB, b.writeBias);
                                     }));
     PlacementDecision decision;
-    const std::int64_t needed = request.size.promptTokens + request.size.maximumOutputTokens;
     std::int64_t missing = needed - candidates.front().freeTokens;
     double firstMs = 0;
-    double shared = 0;
+    double shared = candidates.front().writeBias;
     for (std::size_t index = 0; index < count; ++index) {
         const Candidate &candidate = candidates[index];
         firstMs = std::max(firstMs, candidate.firstMs);
-        shared += candidate.harm + candidate.bias;
+        shared += candidate.harm + candidate.readBias;
         decision.harm += candidate.harm;
         PlacedPart part { .upstream = candidate.record->id,
                           .readMs = partMs,
--- /dev/null
+++ b/Tests/LibForward/EngineFleet.cpp
@@ -0,0 +1,92 @@
+#include "EngineFleet.h"
+
+#include <algorithm>
+
+namespace Lavenderpick {
+
+EngineFleet::EngineFleet(const EngineParameters &engine, int engines)
+    : m_engine(engine)
+    , m_engines(static_cast<std::size_t>(engines))
+{
+    for (int index = 0; index < engines; ++index) {
+        const std::string id = "e" + std::to_string(index);
+        m_records.push_back(
+                { .id = id, .service = "s", .availabilityZone = "a", .capacity = engine.batch });
+        m_indexes[id] = static_cast<std::size_t>(index);
+    }
+    for (const UpstreamRecord &record : m_records)
+        m_upstreams.push_back(&record);
+}
+
+void EngineFleet::submit(std::uint64_t id, const PlacementDecision &decision,
+                         PlayedGeneration &generation)
+{
+    m_nowMs = std::max(m_nowMs, generation.arrivedMs);
+    m_requests[id] = { .generation = &generation,
+                       .engine = m_indexes.at(decision.upstream),
+                       .unreadParts = static_cast<int>(decision.placement.parts.size()) };
+    for (const PlacedPart &part : decision.placement.parts) {
+        Engine &engine = m_engines[m_indexes.at(part.upstream)];
+        if (!hasWork(engine))
+            engine.freeAtMs = std::max(engine.freeAtMs, m_nowMs);
+        const Part added { .id = id, .remainingMs = part.readMs, .submittedMs = m_nowMs };
+        // Helpers read their parts before other prompts.
+        engine.parts.insert(part.writes ? engine.parts.end() : engine.parts.begin(), added);
+    }
+}
+
+void EngineFleet::runPass(Engine &engine, double untilMs)
+{
+    const double startMs = engine.freeAtMs;
+    std::int64_t context = 0;
+    for (const Stream &stream : engine.streams)
+        context += stream.contextTokens;
+    const int writers = static_cast<int>(engine.streams.size());
+    double durationMs = writingPassMs(m_engine, writers, context);
+    // Without writers a pass is one step, which reads one chunk at most.
+    double readable = writers > 0 ? 1e9 : m_engine.chunkTokens / m_engine.readTokensPerMs;
+    std::vector<std::uint64_t> readParts;
+    while (!engine.parts.empty() && readable > 0 && engine.parts.front().submittedMs <= startMs) {
+        Part &part = engine.parts.front();
+        const double taken = std::min(readable, part.remainingMs);
+        part.remainingMs -= taken;
+        readable -= taken;
+        durationMs += taken;
+        if (part.remainingMs > 1e-9)
+            break;
+        readParts.push_back(part.id);
+        engine.parts.erase(engine.parts.begin());
+    }
+    if (durationMs <= 0)
+        durationMs = m_engine.stepMs;
+    const double endMs = startMs + durationMs;
+    engine.freeAtMs = endMs;
+    m_nowMs = std::min(endMs, untilMs);
+    for (Stream &stream : engine.streams) {
+        PlayedGeneration &generation = *m_requests.at(stream.id).generation;
+        generation.longestGapMs = std::max(generation.longestGapMs, endMs - stream.lastEventMs);
+        stream.lastEventMs = endMs;
+        if (--stream.remainingEvents == 0) {
+            generation.finished = true;
+            m_happenings.emplace(endMs, Happening { .id = stream.id, .isEnd = true });
+        }
+    }
+    std::erase_if(engine.streams, [](const Stream &stream) { return stream.remainingEvents <= 0; });
+    for (const std::uint64_t id : readParts) {
+        Request &request = m_requests.at(id);
+        if (--request.unreadParts > 0)
+            continue;
+        PlayedGeneration &generation = *request.generation;
+        generation.firstMs = endMs - generation.arrivedMs;
+        m_happenings.emplace(endMs, Happening { .id = id });
+        const std::int64_t events = generation.size.maximumOutputTokens / m_engine.strideTokens + 1;
+        m_engines[request.engine].streams.push_back({ .id = id,
+                                                      .remainingEvents = events,
+                                                      .contextTokens = generation.size.promptTokens,
+                                                      .lastEventMs = endMs });
+        Engine &answering = m_engines[request.engine];
+        answering.freeAtMs = std::max(answering.freeAtMs, endMs);
+    }
+}
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/Tests/LibForward/EngineFleet.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "lavenderpick/Forward/Placer.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Lavenderpick {
+
+/// What the caller of one generation got.
+struct PlayedGeneration
+{
+    GenerationSize size;
+    double arrivedMs { 0 };
+    double firstMs { 0 }; ///< From its arrival to its first event.
+    double longestGapMs { 0 };
+    bool finished { false };
+};
+
+/// Engines that read and write in passes by the published formula, for tests of placement.
+///
+/// Each pass reads what waits, up to a chunk a step, and writes a stride for each stream. A prompt
+/// that is split is read when all its parts are.
+class EngineFleet
+{
+public:
+    EngineFleet(const EngineParameters &engine, int engines);
+
+    const std::vector<const UpstreamRecord *> &upstreams() const { return m_upstreams; }
+
+    /// Starts the request with `id` at the upstreams of the decision.
+    void submit(std::uint64_t id, const PlacementDecision &decision, PlayedGeneration &generation);
+
+    /// Runs all passes that begin before `untilMs`; calls `read` at first events and `ended` at
+    /// ends.
+    template <typename Read, typename Ended>
+    void runUntil(double untilMs, Read read, Ended ended)
+    {
+        bool progressed = true;
+        while (progressed) {
+            progressed = false;
+            for (Engine &runner : m_engines) {
+                if (runner.freeAtMs >= untilMs || !hasWork(runner))
+                    continue;
+                progressed = true;
+                runPass(runner, untilMs);
+            }
+        }
+        while (!m_happenings.empty() && m_happenings.begin()->first <= untilMs) {
+            const Happening happening = m_happenings.begin()->second;
+            m_happenings.erase(m_happenings.begin());
+            if (happening.isEnd)
+                ended(happening.id);
+            else
+                read(happening.id);
+        }
+    }
+
+private:
+    struct Part
+    {
+        std::uint64_t id { 0 };
+        double remainingMs { 0 };
+        double submittedMs { 0 };
+    };
+    struct Stream
+    {
+        std::uint64_t id { 0 };
+        std::int64_t remainingEvents { 0 };
+        std::int64_t contextTokens { 0 };
+        double lastEventMs { 0 };
+    };
+    struct Engine
+    {
+        double freeAtMs { 0 };
+        std::vector<Part> parts;
+        std::vector<Stream> streams;
+    };
+    struct Happening
+    {
+        std::uint64_t id { 0 };
+        bool isEnd { false };
+    };
+    struct Request
+    {
+        PlayedGeneration *generation { nullptr };
+        std::size_t engine { 0 };
+        int unreadParts { 0 };
+    };
+
+    bool hasWork(const Engine &engine) const
+    {
+        return !engine.parts.empty() || !engine.streams.empty();
+    }
+    void runPass(Engine &engine, double untilMs);
+
+    EngineParameters m_engine;
+    std::vector<UpstreamRecord> m_records;
+    std::vector<const UpstreamRecord *> m_upstreams;
+    std::vector<Engine> m_engines;
+    std::map<std::string, std::size_t> m_indexes;
+    std::map<std::uint64_t, Request> m_requests;
+    std::multimap<double, Happening> m_happenings; ///< By the time at which callers see them.
+    double m_nowMs { 0 };
+};
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/Tests/LibForward/TestEventSplitter.cpp
@@ -0,0 +1,28 @@
+#include "lavenderpick/Forward/EventSplitter.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavenderpick;
+
+BOOST_AUTO_TEST_SUITE(EventSplitterTests)
+
+BOOST_AUTO_TEST_CASE(onlyWholeEventsLeave)
+{
+    EventSplitter events;
+    BOOST_CHECK_EQUAL(events.take("id: 1\ndata: a"), "");
+    BOOST_CHECK_EQUAL(events.take("\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    BOOST_CHECK_EQUAL(events.lastEventId(), "1");
+    BOOST_CHECK_EQUAL(events.dropPartial(), 8);
+    BOOST_CHECK_EQUAL(events.take("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    BOOST_CHECK_EQUAL(events.lastEventId(), "2");
+    BOOST_CHECK_EQUAL(events.eventCount(), 2);
+}
+
+BOOST_AUTO_TEST_CASE(carriageReturnsEndLinesToo)
+{
+    EventSplitter events;
+    BOOST_CHECK_EQUAL(events.take("id:7\r\ndata: a\r\n\r\nid:8"), "id:7\r\ndata: a\r\n\r\n");
+    BOOST_CHECK_EQUAL(events.lastEventId(), "7");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibForward/TestUpstreamDirectory.cpp
@@ -0,0 +1,75 @@
+#include "lavenderpick/Forward/UpstreamDirectory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavenderpick;
+
+namespace {
+
+const TimePoint start { Seconds(1'000) };
+
+UpstreamRecord upstream(const std::string &id, UpstreamState state = UpstreamState::Ready)
+{
+    return { .id = id, .service = "s", .address = "10.0.0.1:80", .capacity = 4, .state = state };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UpstreamDirectoryTests)
+
+BOOST_AUTO_TEST_CASE(leavingUpstreamsGetNothingNew)
+{
+    UpstreamDirectory directory;
+    directory.put(upstream("a"));
+    directory.put(upstream("b"));
+    BOOST_CHECK_EQUAL(directory.ready("s").size(), 2);
+    directory.put(upstream("a", UpstreamState::Leaving));
+    BOOST_REQUIRE_EQUAL(directory.ready("s").size(), 1);
+    BOOST_CHECK_EQUAL(directory.ready("s").front()->id, "b");
+}
+
+BOOST_AUTO_TEST_CASE(aRemovalCountsAtOnceWhileTheStoreAnswers)
+{
+    UpstreamDirectory directory;
+    directory.put(upstream("a"));
+    directory.remove("a", start);
+    BOOST_CHECK(directory.ready("s").empty());
+}
+
+BOOST_AUTO_TEST_CASE(lapsedUpstreamsStayUntilTheGraceEnds)
+{
+    UpstreamDirectory directory;
+    directory.put(upstream("a"));
+    directory.put(upstream("b"));
+    directory.storeLost();
+    directory.storeRegained(start);
+    directory.remove("a", start + Milliseconds(100));
+    directory.remove("b", start + Milliseconds(100));
+    BOOST_CHECK_EQUAL(directory.ready("s").size(), 2);
+    directory.put(upstream("b"));
+    BOOST_CHECK(directory.expire(start + Milliseconds(1'900)).empty());
+    BOOST_CHECK(directory.expire(start + Milliseconds(2'000)) == std::vector<std::string> { "a" });
+    BOOST_REQUIRE_EQUAL(directory.ready("s").size(), 1);
+    BOOST_CHECK_EQUAL(directory.ready("s").front()->id, "b");
+}
+
+BOOST_AUTO_TEST_CASE(oneThatSaidItLeavesIsNotKept)
+{
+    UpstreamDirectory directory;
+    directory.put(upstream("a", UpstreamState::Leaving));
+    directory.storeLost();
+    directory.remove("a", start);
+    BOOST_CHECK(directory.find("a") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(aListingRemovesWhatItLacks)
+{
+    UpstreamDirectory directory;
+    directory.put(upstream("a"));
+    directory.put(upstream("b"));
+    directory.replaceAll({ upstream("b"), upstream("c") }, start);
+    BOOST_CHECK(directory.find("a") == nullptr);
+    BOOST_CHECK_EQUAL(directory.ready("s").size(), 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -105,7 +105,8 @@
         const UpstreamLoad *load { nullptr };
         double waitMs { 0 }; ///< Until what is open there is read.
         double writingPassMs { 0 };
-        double bias { 0 }; ///< Fill, zone and jitter.
+        double readBias { 0 };  ///< Zone and jitter.
+        double writeBias { 0 }; ///< Fill and pause; for the upstream that answers.
         double cost { 0 };
         double harm { 0 };
         double firstMs { 0 };
