Placer: Count what ends a stretch of reading as harm also where the stretch is long

Cause: a long stretch of short reads counted as late already, so that a long prompt there was free of cost.

--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -76,8 +76,10 @@
         if (!work.reading && work.gapObjective == Duration {})
             continue;
         const double allowedMs = work.reading ? toMs(work.firstDue - now) : toMs(work.gapObjective);
-        const double before = passMs + (work.reading ? candidate.waitMs : stretchMs);
-        if (before + readMs > allowedMs && before <= allowedMs)
+        // What comes last in a stretch makes a stream late, unless what still waits already does.
+        const double before = passMs + candidate.waitMs;
+        const double after = readMs + (work.reading ? before : passMs + stretchMs);
+        if (after > allowedMs && before <= allowedMs)
             harmed += work.weight * m_settings.lateShare;
     }
     return harmed;
--- a/Tests/LibForward/EngineFleet.cpp
+++ b/Tests/LibForward/EngineFleet.cpp
@@ -39,9 +39,20 @@
 {
     const double startMs = engine.freeAtMs;
     std::int64_t context = 0;
-    for (const Stream &stream : engine.streams)
+    int writers = 0;
+    double nextStartMs = untilMs;
+    for (const Stream &stream : engine.streams) {
+        if (stream.lastEventMs > startMs) {
+            nextStartMs = std::min(nextStartMs, stream.lastEventMs);
+            continue; // Its last part is read by an engine whose pass ends later.
+        }
         context += stream.contextTokens;
-    const int writers = static_cast<int>(engine.streams.size());
+        ++writers;
+    }
+    if (writers == 0 && (engine.parts.empty() || engine.parts.front().submittedMs > startMs)) {
+        engine.freeAtMs = nextStartMs;
+        return;
+    }
     double durationMs = writingPassMs(m_engine, writers, context);
     // Without writers a pass is one step, which reads one chunk at most.
     double readable = writers > 0 ? 1e9 : m_engine.chunkTokens / m_engine.readTokensPerMs;
@@ -63,6 +74,8 @@
     engine.freeAtMs = endMs;
     m_nowMs = std::min(endMs, untilMs);
     for (Stream &stream : engine.streams) {
+        if (stream.lastEventMs > startMs)
+            continue;
         PlayedGeneration &generation = *m_requests.at(stream.id).generation;
         generation.longestGapMs = std::max(generation.longestGapMs, endMs - stream.lastEventMs);
         stream.lastEventMs = endMs;
@@ -84,8 +97,6 @@
                                                       .remainingEvents = events,
                                                       .contextTokens = generation.size.promptTokens,
                                                       .lastEventMs = endMs });
-        Engine &answering = m_engines[request.engine];
-        answering.freeAtMs = std::max(answering.freeAtMs, endMs);
     }
 }
 
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -62,7 +62,7 @@
     double firstTightShare { 0.1 };
     double otherZoneShare { 0.004 }; ///< Weight of crossing zones: bytes between zones cost.
     double jitterShare { 0.004 };    ///< Keeps gateways with equal views apart.
-    double splitShare { 0.001 };     ///< Cost of each helper, since one that fails fails all.
+    double splitShare { 0.003 };     ///< Cost of each helper, since one that fails fails all.
     double memoryShare { 0.95 };     ///< Of an engine's memory; the rest covers what is not seen.
     double minimumSplitMs { 120 };   ///< Shorter prompts are read by one engine.
     int maximumParts { 17 };         ///< The engines accept 16 helpers.
