Gateway: Count the bytes of a head that arrives in one piece

Cause: the head's size was added after its end was handled, so that an oversized head in one read was forwarded.

--- a/Libraries/LibForward/HttpParser.cpp
+++ b/Libraries/LibForward/HttpParser.cpp
@@ -127,6 +127,7 @@
 {
     finishField();
     http_parser &parser = m_implementation->parser;
+    m_headBytes = parser.nread;
     const bool chunked = (parser.flags & F_CHUNKED) != 0;
     const bool hasLength = (parser.flags & F_CONTENTLENGTH) != 0;
     BodyFraming framing = BodyFraming::None;
@@ -161,10 +162,9 @@
     if (m_state == State::Complete || m_state == State::Failed || bytes.empty())
         return 0;
     http_parser &parser = m_implementation->parser;
-    const bool inHead = m_state == State::Head;
     const std::size_t taken =
             http_parser_execute(&parser, &Callbacks::settings(), bytes.data(), bytes.size());
-    if (inHead)
+    if (m_state == State::Head)
         m_headBytes += taken;
     if (m_state == State::Complete)
         return taken;
--- /dev/null
+++ b/Tests/ServiceGateway/GatewayFixture.cpp
@@ -0,0 +1,212 @@
+#include "GatewayFixture.h"
+
+#include <array>
+#include <charconv>
+
+namespace Lavenderpick {
+
+namespace {
+
+GatewaySettings settings()
+{
+    return { .name = "gateway-1", .availabilityZone = "a" };
+}
+
+} // namespace
+
+std::optional<GenerationSize> PlainDialect::generationSize(const HeaderList &headers) const
+{
+    const std::string *tokens = headers.find("Tokens");
+    if (tokens == nullptr)
+        return std::nullopt;
+    GenerationSize size { .maximumOutputTokens = 100 };
+    std::from_chars(tokens->data(), tokens->data() + tokens->size(), size.promptTokens);
+    return size;
+}
+
+std::string PlainDialect::formatHelpers(const std::vector<HelperPart> &helpers) const
+{
+    std::string list;
+    for (const HelperPart &helper : helpers)
+        list += helper.address + "/" + helper.reservation + ";";
+    return list;
+}
+
+EngineCall PlainDialect::reserveMemory(const std::string &reservation, std::int64_t tokens,
+                                       Duration) const
+{
+    return { .method = "POST",
+             .target = "/reserve/" + reservation,
+             .body = std::to_string(tokens) };
+}
+
+EngineCall PlainDialect::releaseMemory(const std::string &reservation) const
+{
+    return { .method = "POST", .target = "/release/" + reservation, .body = "0" };
+}
+
+GatewayFixture::GatewayFixture()
+    : state(context, clock, random, dialect, settings())
+    , m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+{
+    state.configuration = std::make_shared<const ServingConfiguration>(configuration());
+    accept();
+}
+
+GatewayFixture::~GatewayFixture()
+{
+    for (const auto &caller : m_callers)
+        caller->abandon();
+    runUntil([this] { return state.openRequests == 0; });
+    m_inbound.clear();
+}
+
+ServingConfigurationParts GatewayFixture::configuration()
+{
+    const Route base { .host = "h",
+                       .timeout = Seconds(2),
+                       .objective = Milliseconds(100),
+                       .maximumUpstreams = 2,
+                       .targets = { { .service = "calls" } } };
+    Route safe = base;
+    safe.name = "safe";
+    safe.prefix = "/safe/";
+    safe.kind = RouteKind::Safe;
+    Route once = base;
+    once.name = "once";
+    once.prefix = "/once/";
+    once.kind = RouteKind::Unsafe;
+    Route stream = base;
+    stream.name = "stream";
+    stream.prefix = "/stream/";
+    stream.kind = RouteKind::Streaming;
+    stream.resumable = true;
+    stream.gapObjective = Milliseconds(250);
+    stream.targets = { { .service = "engines" } };
+    Route fixedStream = stream;
+    fixedStream.name = "fixed-stream";
+    fixedStream.prefix = "/fixed-stream/";
+    fixedStream.resumable = false;
+    return { .version = 1,
+             .routes = { safe, once, stream, fixedStream },
+             .services = { { .name = "calls" },
+                           { .name = "engines",
+                             .engine = EngineParameters { .batch = 4,
+                                                          .memoryTokens = 10'000,
+                                                          .strideTokens = 10,
+                                                          .chunkTokens = 1'000,
+                                                          .readTokensPerMs = 100 } } },
+             .customers = std::vector<Customer> { { .name = "customer-1", .keys = { "k" } } },
+             .limits = { .headBytes = 2'000, .bodyBytes = 100'000 } };
+}
+
+std::string GatewayFixture::answer(const std::string &id, const std::string &body, int status,
+                                   const std::string &extraHeaders)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + id + "\r\n" + extraHeaders
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+void GatewayFixture::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
+        if (error)
+            return;
+        m_inbound.push_back(std::make_shared<InboundConnection>(state, std::move(socket)));
+        m_inbound.back()->start();
+        accept();
+    });
+}
+
+ScriptedUpstream &GatewayFixture::addUpstream(const std::string &id,
+                                              ScriptedUpstream::Script script,
+                                              const std::string &service)
+{
+    m_upstreams.push_back(std::make_unique<ScriptedUpstream>(context, std::move(script)));
+    state.upstreams.put({ .id = id,
+                          .service = service,
+                          .address = m_upstreams.back()->address(),
+                          .availabilityZone = "a",
+                          .capacity = 4 });
+    state.outliers.setKnownUpstreams(state.upstreams.size());
+    return *m_upstreams.back();
+}
+
+std::shared_ptr<CallerView> GatewayFixture::send(const std::string &path, const std::string &id,
+                                                 const std::string &extraHeaders,
+                                                 const std::string &body)
+{
+    const std::string address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    auto view = std::make_shared<CallerView>();
+    m_callers.push_back(std::make_shared<HttpConnection>(context, clock, address));
+    std::string head = (body.empty() ? "GET " : "POST ") + path
+            + " HTTP/1.1\r\nHost: h\r\nKey: k\r\n" + "Request-Id: " + id + "\r\n" + extraHeaders;
+    if (!body.empty())
+        head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    m_callers.back()->send(head + "\r\n", std::make_shared<const std::string>(body), false, *view);
+    return view;
+}
+
+std::shared_ptr<CallerView> GatewayFixture::get(const std::string &path, const std::string &id,
+                                                const std::string &extraHeaders,
+                                                const std::string &body)
+{
+    auto view = send(path, id, extraHeaders, body);
+    runUntil([&] { return view->isDone(); });
+    return view;
+}
+
+std::unique_ptr<asio::ip::tcp::socket> GatewayFixture::connect()
+{
+    auto socket = std::make_unique<asio::ip::tcp::socket>(context);
+    socket->connect(m_acceptor.local_endpoint());
+    socket->non_blocking(true);
+    return socket;
+}
+
+std::string GatewayFixture::receive(asio::ip::tcp::socket &socket)
+{
+    std::string received;
+    runUntil([&] {
+        std::array<char, 4'096> buffer {};
+        asio::error_code error;
+        const std::size_t size = socket.read_some(asio::buffer(buffer), error);
+        received.append(buffer.data(), size);
+        const std::size_t end = received.find("\r\n\r\n");
+        return (error && error != asio::error::would_block)
+                || (end != std::string::npos && received.find('}', end) != std::string::npos);
+    });
+    return received;
+}
+
+std::string GatewayFixture::sendBytes(const std::string &bytes)
+{
+    const auto socket = connect();
+    asio::write(*socket, asio::buffer(bytes));
+    return receive(*socket);
+}
+
+bool GatewayFixture::runUntil(const std::function<bool()> &condition,
+                              std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        context.restart();
+        context.run_for(std::chrono::milliseconds(2));
+    }
+    return true;
+}
+
+void GatewayFixture::advance(Duration duration)
+{
+    clock.advance(duration);
+    const TimePoint now = clock.now();
+    for (const auto &connection : m_inbound)
+        connection->checkTimeouts(now);
+    context.restart();
+    context.run_for(std::chrono::milliseconds(5));
+}
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/Tests/ServiceGateway/GatewayFixture.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "ScriptedUpstream.h"
+#include "Services/Gateway/HttpConnection.h"
+#include "Services/Gateway/InboundConnection.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Lavenderpick {
+
+/// The product's own spelling of requests; other names than any platform's.
+class PlainDialect : public RequestDialect
+{
+public:
+    const HeaderNames &names() const override { return m_names; }
+    std::optional<GenerationSize> generationSize(const HeaderList &headers) const override;
+    std::string formatHelpers(const std::vector<HelperPart> &helpers) const override;
+    bool provesNotRun(const ResponseHead &response) const override
+    {
+        return response.headers.find("Not-Run") != nullptr;
+    }
+    bool isOtherUpstream(const ResponseHead &response) const override
+    {
+        return response.status == 421;
+    }
+    EngineCall reserveMemory(const std::string &reservation, std::int64_t tokens,
+                             Duration hold) const override;
+    EngineCall releaseMemory(const std::string &reservation) const override;
+
+private:
+    HeaderNames m_names {
+        .requestId = "Request-Id",
+        .customerKey = "Key",
+        .customerName = "Customer",
+        .timeLeftMs = "Time-Left-Ms",
+        .expectedUpstream = "Expected-Upstream",
+        .integrityProof = "Proof",
+        .helpers = "Helpers",
+        .lastEventId = "Last-Event-Id",
+        .reserved = { "Key", "Customer", "Time-Left-Ms", "Expected-Upstream", "Helpers" },
+    };
+};
+
+/// What a caller got on its connection.
+struct CallerView : ResponseListener
+{
+    int status { 0 };
+    HeaderList headers;
+    std::string body;
+    bool whole { false };
+    bool failed { false };
+
+    bool isDone() const { return whole || failed; }
+    std::string header(const std::string &name) const
+    {
+        const std::string *value = headers.find(name);
+        return value == nullptr ? std::string() : *value;
+    }
+
+    void headArrived(const ResponseHead &head) override
+    {
+        status = head.status;
+        headers = head.headers;
+    }
+    void bodyArrived(std::string_view bytes) override { body.append(bytes); }
+    void responseEnded() override { whole = true; }
+    void requestFailed(ConnectionFailure) override { failed = true; }
+};
+
+/// A gateway's request path on loopback, with upstreams that follow scripts. Its clock stands still
+/// until it is advanced.
+class GatewayFixture
+{
+public:
+    GatewayFixture();
+    ~GatewayFixture();
+
+    /// Adds an upstream of the service "calls" or "engines".
+    ScriptedUpstream &addUpstream(const std::string &id, ScriptedUpstream::Script script,
+                                  const std::string &service = "calls");
+
+    /// Sends a request on a new connection and returns at once.
+    std::shared_ptr<CallerView> send(const std::string &path, const std::string &id = "r1",
+                                     const std::string &extraHeaders = "",
+                                     const std::string &body = "");
+
+    /// Sends a request and waits for the end of its response.
+    std::shared_ptr<CallerView> get(const std::string &path, const std::string &id = "r1",
+                                    const std::string &extraHeaders = "",
+                                    const std::string &body = "");
+
+    /// A new connection of a caller.
+    std::unique_ptr<asio::ip::tcp::socket> connect();
+
+    /// All that comes on the connection until it closes or a response is whole.
+    std::string receive(asio::ip::tcp::socket &socket);
+
+    /// Sends bytes on a new connection and returns all that comes back until it closes or is idle.
+    std::string sendBytes(const std::string &bytes);
+
+    /// Runs the loop until the condition holds; returns false after the time.
+    bool runUntil(const std::function<bool()> &condition,
+                  std::chrono::milliseconds limit = std::chrono::milliseconds(2'000));
+
+    /// Advances the clock and lets everything check its timeouts.
+    void advance(Duration duration);
+
+    /// Closes the connection of the last `send`.
+    void leave() { m_callers.back()->abandon(); }
+
+    static ServingConfigurationParts configuration();
+    static std::string answer(const std::string &id, const std::string &body, int status = 200,
+                              const std::string &extraHeaders = "Proof: p\r\n");
+
+    asio::io_context context;
+    ManualClock clock;
+    SeededRandom random { 1 };
+    PlainDialect dialect;
+    GatewayState state;
+
+private:
+    void accept();
+
+    asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::shared_ptr<InboundConnection>> m_inbound;
+    std::vector<std::shared_ptr<HttpConnection>> m_callers;
+    std::vector<std::unique_ptr<ScriptedUpstream>> m_upstreams;
+};
+
+} // namespace Lavenderpick
--- /dev/null
+++ b/Tests/ServiceGateway/TestInboundConnection.cpp
@@ -0,0 +1,95 @@
+#include "GatewayFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavenderpick;
+
+namespace {
+
+ScriptedUpstream::Script echoing()
+{
+    return [](const ReceivedRequest &request, const std::shared_ptr<UpstreamPeer> &peer) {
+        peer->write(GatewayFixture::answer(request.header("Request-Id"), request.head.target));
+    };
+}
+
+std::string statusOf(const std::string &response)
+{
+    return response.size() < 12 ? response : response.substr(9, 3);
+}
+
+std::size_t count(const std::string &text, const std::string &part)
+{
+    std::size_t found = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++found;
+    return found;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(InboundConnectionTests, GatewayFixture)
+
+BOOST_AUTO_TEST_CASE(malformedRequestsGetAClearAnswer)
+{
+    const auto &upstream = addUpstream("u1", echoing());
+    const std::string start = "POST /safe/ HTTP/1.1\r\nKey: k\r\n";
+    const std::string host = "Host: h\r\n";
+    BOOST_CHECK_EQUAL(statusOf(sendBytes(start + "\r\n")), "400");
+    BOOST_CHECK_EQUAL(statusOf(sendBytes(start + host + host + "\r\n")), "400");
+    BOOST_CHECK_EQUAL(
+            statusOf(sendBytes(start + host
+                               + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0")),
+            "400");
+    BOOST_CHECK_EQUAL(
+            statusOf(sendBytes(start + host + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab")),
+            "400");
+    BOOST_CHECK_EQUAL(
+            statusOf(sendBytes(start + host + "X: " + std::string(3'000, 'x') + "\r\n\r\n")),
+            "431");
+    BOOST_CHECK_EQUAL(statusOf(sendBytes(start + host + "Content-Length: 200000\r\n\r\n")), "413");
+    BOOST_CHECK(upstream.received().empty());
+    BOOST_CHECK_EQUAL(
+            state.metrics.counter("lavenderpick_refusals_total", "reason=\"body_too_large\""), 1);
+}
+
+BOOST_AUTO_TEST_CASE(requestsOnOneConnectionAreAnsweredInOrder)
+{
+    addUpstream("u1", echoing());
+    std::string requests;
+    for (const char *path : { "/safe/1", "/safe/2", "/nowhere/" })
+        requests += std::string("GET ") + path
+                + " HTTP/1.1\r\nHost: h\r\nKey: k\r\nRequest-Id: " + path + "\r\n\r\n";
+    const std::string response = sendBytes(requests);
+    BOOST_CHECK_EQUAL(count(response, "HTTP/1.1 200"), 2);
+    BOOST_CHECK_LT(response.find("Request-Id: /safe/1"), response.find("Request-Id: /safe/2"));
+    BOOST_CHECK_EQUAL(count(response, "HTTP/1.1 404"), 1);
+}
+
+BOOST_AUTO_TEST_CASE(aSlowHeadTimesOut)
+{
+    const auto socket = connect();
+    asio::write(*socket, asio::buffer(std::string("GET /safe/ HTTP/1.1\r\nHo")));
+    runUntil([&] { return false; }, std::chrono::milliseconds(30));
+    advance(Milliseconds(3'001));
+    BOOST_CHECK_EQUAL(statusOf(receive(*socket)), "408");
+}
+
+BOOST_AUTO_TEST_CASE(anIdleConnectionIsClosed)
+{
+    const auto socket = connect();
+    runUntil([&] { return false; }, std::chrono::milliseconds(30));
+    advance(Seconds(16));
+    BOOST_CHECK_EQUAL(receive(*socket), "");
+}
+
+BOOST_AUTO_TEST_CASE(aStoppingGatewayAsksCallersToLeave)
+{
+    addUpstream("u1", echoing());
+    state.stopping = true;
+    const auto view = get("/safe/");
+    BOOST_CHECK_EQUAL(view->status, 200);
+    BOOST_CHECK_EQUAL(view->header("Connection"), "close");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
