--- a/Libraries/LibForward/HttpParser.cpp
+++ b/Libraries/LibForward/HttpParser.cpp
@@ -127,7 +127,6 @@
 {
     finishField();
     http_parser &parser = m_implementation->parser;
-    m_headBytes = parser.nread;
     const bool chunked = (parser.flags & F_CHUNKED) != 0;
     const bool hasLength = (parser.flags & F_CONTENTLENGTH) != 0;
     BodyFraming framing = BodyFraming::None;
@@ -153,10 +152,21 @@
         m_response.keepAlive =
                 framing != BodyFraming::UntilClose && http_should_keep_alive(&parser) != 0;
     }
+    m_headBytes = bytesOfHead();
     m_state = State::Body;
     m_listener.headParsed();
 }
 
+std::size_t HttpParser::bytesOfHead() const
+{
+    const HeaderList &headers = m_side == Side::Requests ? m_request.headers : m_response.headers;
+    constexpr std::size_t separators = 4; // The colon, a space and the end of the line.
+    std::size_t bytes = m_request.target.size();
+    for (const HeaderField &field : headers.fields())
+        bytes += field.name.size() + field.value.size() + separators;
+    return bytes;
+}
+
 std::size_t HttpParser::feed(std::string_view bytes)
 {
     if (m_state == State::Complete || m_state == State::Failed || bytes.empty())
--- a/include/lavenderpick/Forward/HttpParser.h
+++ b/include/lavenderpick/Forward/HttpParser.h
@@ -73,6 +73,7 @@
 
     void finishHead();
     void finishField();
+    std::size_t bytesOfHead() const;
 
     std::unique_ptr<Implementation> m_implementation;
     MessageListener &m_listener;
