--- /dev/null
+++ b/Tests/PlatformAdapter/TestRecordDecoder.cpp
@@ -0,0 +1,130 @@
+#include "lavenderpick/Base/Error.h"
+#include "platform/PlatformDialect.h"
+#include "platform/RecordDecoder.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavenderpick;
+
+namespace {
+
+const char *const configuration = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","prefix":"/x/","routeKind":"streaming","timeoutMs":10000,"sloMs":300,
+  "priority":1,"trafficSplit":[{"service":"s1","routeWeight":90},{"service":"s2","routeWeight":10}],
+  "maxAttempts":2,"anonymous":false,"sticky":true,"resumable":true,"gapTargetMs":250},
+ {"name":"r2","host":"a.example","prefix":"/y/","routeKind":"unsafe","timeoutMs":800,"sloMs":100,
+  "priority":2,"service":"s2","maxAttempts":1,"anonymous":true}],
+ "services":[{"name":"s1","healthPath":"/healthz","maxConnections":424,"engineParams":{"capacity":16,
+  "kvTokens":315000,"tokenStride":51,"step_ms":0.85,"per_seq_ms":0.00425,"context_per_k":0.00285,
+  "read_per_s":177000.0,"pairs_per_m":0.184,"chunk":2048,"hopMs":0.05}},
+  {"name":"s2","healthPath":"/healthz","maxConnections":100}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1}]})";
+
+const char *const upstream = R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","version":"v1",
+ "capacity":16,"state":"ready","coldLeftMs":0,"seq":4,"born":1700000000123})";
+
+ResponseHead response(int status, const std::string &name = "")
+{
+    ResponseHead head { .status = status };
+    if (!name.empty())
+        head.headers.add(name, "1");
+    return head;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RecordDecoderTests)
+
+BOOST_AUTO_TEST_CASE(theConfigurationIsDecodedWhole)
+{
+    const ServingConfigurationParts parts = Platform::decodeConfiguration(configuration);
+    BOOST_CHECK_EQUAL(parts.version, 7);
+    BOOST_REQUIRE_EQUAL(parts.routes.size(), 2);
+    const Route &stream = parts.routes.front();
+    BOOST_CHECK(stream.kind == RouteKind::Streaming);
+    BOOST_CHECK(stream.resumable);
+    BOOST_CHECK(stream.timeout == Seconds(10));
+    BOOST_CHECK(stream.objective == Milliseconds(300));
+    BOOST_CHECK(stream.gapObjective == Milliseconds(250));
+    BOOST_CHECK_EQUAL(stream.maximumUpstreams, 2);
+    BOOST_REQUIRE_EQUAL(stream.targets.size(), 2);
+    BOOST_CHECK_EQUAL(stream.targets.front().weight, 90);
+    BOOST_CHECK(parts.routes.back().anonymous);
+    BOOST_REQUIRE(parts.services.front().engine.has_value());
+    BOOST_CHECK_EQUAL(parts.services.front().engine->readTokensPerMs, 177);
+    BOOST_CHECK_EQUAL(parts.services.front().engine->strideTokens, 51);
+    BOOST_CHECK(!parts.services.back().engine.has_value());
+    BOOST_REQUIRE(parts.customers.has_value());
+    BOOST_CHECK_EQUAL(parts.customers->front().keys.size(), 2);
+    BOOST_CHECK(parts.limits.idleTimeout == Seconds(15));
+}
+
+BOOST_AUTO_TEST_CASE(withoutTenantsNoKeyIsNeeded)
+{
+    BOOST_CHECK(!Platform::decodeConfiguration(R"({"version":1,"routes":[],"services":[]})")
+                         .customers.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aConfigurationThatCannotBeReadThrows)
+{
+    for (const char *text : { "", "{", "{\"version\":1}", "{\"version\":\"x\",\"routes\":[]}" })
+        BOOST_CHECK_THROW(Platform::decodeConfiguration(text), Error);
+}
+
+BOOST_AUTO_TEST_CASE(anUpstreamNamesItsServiceAndState)
+{
+    const auto record = Platform::decodeUpstream("i-1", upstream);
+    BOOST_REQUIRE(record.has_value());
+    BOOST_CHECK_EQUAL(record->id, "i-1");
+    BOOST_CHECK_EQUAL(record->service, "s1");
+    BOOST_CHECK(record->state == UpstreamState::Ready);
+    BOOST_CHECK_EQUAL(record->startedMs, 1'700'000'000'123);
+}
+
+BOOST_AUTO_TEST_CASE(rowsOfOtherWritersNameNoUpstream)
+{
+    for (const char *text :
+         { "", "\xff\xfe", "[]", "{\"service\":\"s\"}",
+           R"({"service":"s1","address":"a:1","zone":"a","capacity":"16","state":"ready"})",
+           R"({"service":"s1","address":"a:1","zone":"a","capacity":16,"state":"resting"})" })
+        BOOST_CHECK(!Platform::decodeUpstream("i-1", text).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(PlatformDialectTests)
+
+BOOST_AUTO_TEST_CASE(tokenCountsGiveTheSize)
+{
+    const Platform::PlatformDialect dialect;
+    HeaderList headers;
+    BOOST_CHECK(!dialect.generationSize(headers).has_value());
+    headers.add("x-token-counts", "1460,80");
+    BOOST_CHECK((dialect.generationSize(headers) == GenerationSize { 1'460, 80 }));
+    for (const char *text : { "", "1460", "a,b", "1460;80", "-1,2" }) {
+        HeaderList bad;
+        bad.add("X-Token-Counts", text);
+        BOOST_CHECK_MESSAGE(!dialect.generationSize(bad).has_value(), text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(onlyAProofMeansNotRun)
+{
+    const Platform::PlatformDialect dialect;
+    BOOST_CHECK(dialect.provesNotRun(response(503, "X-Not-Executed")));
+    BOOST_CHECK(dialect.provesNotRun(response(421)));
+    BOOST_CHECK(!dialect.provesNotRun(response(503)));
+    BOOST_CHECK(!dialect.provesNotRun(response(500)));
+    BOOST_CHECK(!dialect.provesNotRun(response(504)));
+}
+
+BOOST_AUTO_TEST_CASE(helpersAreListedWithTheirReservations)
+{
+    const Platform::PlatformDialect dialect;
+    BOOST_CHECK_EQUAL(dialect.formatHelpers({ { .address = "10.2.64.3:8080", .reservation = "t81" },
+                                              { .address = "10.2.64.5:8080" } }),
+                      "10.2.64.3:8080/t81,10.2.64.5:8080");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
