--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -40,7 +40,7 @@
         result.push_back({
                 .record = record,
                 .load = &load,
-                .waitMs = load.readWaitMs(now),
+                .readWaitMs = load.readWaitMs(now),
                 .writingPassMs = writingPassMs(engine, load.writers(), load.contextTokens()),
                 .readBias = weight
                         * (m_settings.otherZoneShare * otherZone
@@ -77,7 +77,7 @@
             continue;
         const double allowedMs = work.reading ? toMs(work.firstDue - now) : toMs(work.gapObjective);
         // What comes last in a stretch makes a stream late, unless what still waits already does.
-        const double before = passMs + candidate.waitMs;
+        const double before = passMs + candidate.readWaitMs;
         const double after = readMs + (work.reading ? before : passMs + stretchMs);
         if (after > allowedMs && before <= allowedMs)
             harmed += work.weight * m_settings.lateShare;
@@ -92,7 +92,7 @@
 {
     const double partMs = readMs(engine, request.size.promptTokens, parts);
     for (Candidate &candidate : candidates) {
-        candidate.firstMs = candidate.waitMs + partMs + candidate.writingPassMs;
+        candidate.firstMs = candidate.readWaitMs + partMs + candidate.writingPassMs;
         // A full batch admits the next request when another ends.
         const auto open = static_cast<int>(candidate.load->open().size());
         if (open >= engine.batch)
@@ -181,9 +181,9 @@
     if (all.empty())
         return decision;
     // The shortest queue tells when the next place is free.
-    double shortest = all.front().waitMs;
+    double shortest = all.front().readWaitMs;
     for (const Candidate &candidate : all)
-        shortest = std::min(shortest, candidate.waitMs);
+        shortest = std::min(shortest, candidate.readWaitMs);
     decision.retryAfter = fromMs(shortest) + Milliseconds(200);
     return decision;
 }
--- a/Libraries/LibForward/UpstreamDirectory.cpp
+++ b/Libraries/LibForward/UpstreamDirectory.cpp
@@ -1,9 +1,35 @@
 #include "lavenderpick/Forward/UpstreamDirectory.h"
 
+#include "lavenderpick/Base/Json.h"
+
 #include <set>
 
 namespace Lavenderpick {
 
+nlohmann::json UpstreamRecord::toJson() const
+{
+    return { { "id", id },
+             { "service", service },
+             { "address", address },
+             { "availability_zone", availabilityZone },
+             { "capacity", capacity },
+             { "leaving", state == UpstreamState::Leaving },
+             { "started_ms", startedMs } };
+}
+
+UpstreamRecord UpstreamRecord::parse(const nlohmann::json &json)
+{
+    return {
+        .id = requireString(json, "id"),
+        .service = requireString(json, "service"),
+        .address = requireString(json, "address"),
+        .availabilityZone = requireString(json, "availability_zone"),
+        .capacity = static_cast<int>(requireInteger(json, "capacity", 1)),
+        .state = requireBool(json, "leaving") ? UpstreamState::Leaving : UpstreamState::Ready,
+        .startedMs = requireInteger(json, "started_ms"),
+    };
+}
+
 void UpstreamDirectory::changed()
 {
     ++m_generation;
@@ -84,6 +110,14 @@
     return found == m_entries.end() ? nullptr : &found->second.record;
 }
 
+std::vector<UpstreamRecord> UpstreamDirectory::records() const
+{
+    std::vector<UpstreamRecord> all;
+    for (const auto &[id, entry] : m_entries)
+        all.push_back(entry.record);
+    return all;
+}
+
 const std::vector<const UpstreamRecord *> &
 UpstreamDirectory::ready(const std::string &service) const
 {
--- a/Libraries/LibRouting/CostModel.cpp
+++ b/Libraries/LibRouting/CostModel.cpp
@@ -75,7 +75,7 @@
         .prefillSeconds = engineRates.prefillPerToken * tokens
                 + engineRates.prefillPerTokenSquared * attentionPairs(tokens, cached),
         .decodeSeconds = engineRates.decodePerToken * static_cast<double>(outputTokens),
-        .kvTokens = promptTokens + outputTokens,
+        .kvTokenCount = promptTokens + outputTokens,
     };
 }
 
--- a/Libraries/LibRouting/LoadView.cpp
+++ b/Libraries/LibRouting/LoadView.cpp
@@ -54,7 +54,7 @@
 {
     constexpr double memoryReports = 60; // Of each upstream; long prompts take tens of seconds.
     const bool prefills = report.prefillBacklog > shortBacklog;
-    const bool holds = static_cast<double>(report.kvUsed)
+    const bool holds = static_cast<double>(report.kvTokensInUse)
             > longMemoryShare * static_cast<double>(report.kvCapacity);
     const double learned = 1 / (memoryReports * static_cast<double>(m_states.size()));
     m_longOccupancy += learned * ((prefills || holds ? 1.0 : 0.0) - m_longOccupancy);
@@ -96,7 +96,7 @@
     UpstreamLoad load {
         .known = state.reported,
         .accepting = state.reported && state.report.accepting,
-        .kvFree = state.report.kvCapacity - state.report.kvUsed,
+        .kvFree = state.report.kvCapacity - state.report.kvTokensInUse,
         .kvCapacity = state.report.kvCapacity,
         .shortWaitSeconds = state.shortBacklogSeconds,
         .totalWaitSeconds = state.totalBacklogSeconds,
@@ -109,7 +109,7 @@
     for (const Sent &sent : state.sent) {
         if (sent.at <= state.asOf)
             continue; // The report includes it.
-        load.kvFree -= sent.cost.kvTokens;
+        load.kvFree -= sent.cost.kvTokenCount;
         ++load.requests;
         if (sent.prefilled)
             continue;
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -76,7 +76,7 @@
     const double memoryShare = isShort ? m_settings.memoryShare : m_settings.longMemoryShare;
     const auto capacity = static_cast<double>(load.kvCapacity);
     scored.capacity = static_cast<std::int64_t>(memoryShare * capacity);
-    scored.fits = static_cast<double>(decision.cost.kvTokens)
+    scored.fits = static_cast<double>(decision.cost.kvTokenCount)
             <= static_cast<double>(load.kvFree) - (1 - memoryShare) * capacity;
     return scored;
 }
--- a/Libraries/LibUpstream/Engine.cpp
+++ b/Libraries/LibUpstream/Engine.cpp
@@ -45,7 +45,7 @@
 
 EngineLoad EngineLoad::parse(const nlohmann::json &json)
 {
-    return { .kvUsed = requireInteger(json, "kv_used"),
+    return { .kvTokensInUse = requireInteger(json, "kv_used"),
              .kvCapacity = requireInteger(json, "kv_capacity"),
              .running = requireInteger(json, "running"),
              .waiting = requireInteger(json, "waiting"),
--- a/Libraries/LibUpstream/UpstreamAdmission.cpp
+++ b/Libraries/LibUpstream/UpstreamAdmission.cpp
@@ -47,7 +47,7 @@
     if (const auto reason = refusalOf(request, now))
         return { .decision = AdmissionDecision::Refused, .reason = *reason };
     Demand &demand = isLong(request.prefillTokens) ? m_longDemand : m_shortDemand;
-    demand.add(static_cast<double>(request.kvTokens), now, m_settings.demandHalfLife);
+    demand.add(static_cast<double>(request.kvTokenCount), now, m_settings.demandHalfLife);
     // An attempt of a reservation has its memory already and does not wait for others'.
     if (!request.reservationId.empty()) {
         m_waiting.push_back({ request, now });
@@ -140,7 +140,7 @@
         return RefusalReason::UnknownModel;
     if (!request.reservationId.empty() && !m_ledger.holdsReservation(request.reservationId))
         return RefusalReason::UpstreamMemory;
-    if (request.kvTokens > m_ledger.capacity())
+    if (request.kvTokenCount > m_ledger.capacity())
         return RefusalReason::UpstreamMemory;
     if (request.deadline <= now)
         return RefusalReason::DeadlineExceeded;
@@ -175,7 +175,7 @@
 
 bool UpstreamAdmission::fits(const Waiting &waiting, TimePoint now) const
 {
-    const std::int64_t tokens = waiting.request.kvTokens;
+    const std::int64_t tokens = waiting.request.kvTokenCount;
     if (!isLong(waiting.request.prefillTokens))
         return tokens <= m_ledger.available() - memoryKeptForLong(now);
     if (tokens > m_ledger.available())
@@ -198,10 +198,10 @@
 {
     const AdmissionRequest request = m_waiting[index].request;
     const LedgerResult result =
-            m_ledger.charge(request.attemptId, request.kvTokens, request.reservationId);
+            m_ledger.charge(request.attemptId, request.kvTokenCount, request.reservationId);
     if (result != LedgerResult::Granted)
         return false;
-    m_running.push_back({ request.attemptId, request.kvTokens, isLong(request.prefillTokens) });
+    m_running.push_back({ request.attemptId, request.kvTokenCount, isLong(request.prefillTokens) });
     m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(index));
     return true;
 }
@@ -210,7 +210,7 @@
 {
     std::int64_t tokens = 0;
     for (const Running &running : m_running)
-        tokens += running.isLong ? running.kvTokens : 0;
+        tokens += running.isLong ? running.kvTokenCount : 0;
     return tokens;
 }
 
@@ -224,7 +224,7 @@
         return 0;
     const auto most = static_cast<std::int64_t>(m_settings.maximumLongShare
                                                 * static_cast<double>(m_ledger.capacity()));
-    return std::min(m_waiting[*index].request.kvTokens, most);
+    return std::min(m_waiting[*index].request.kvTokenCount, most);
 }
 
 } // namespace Lavenderpick
--- a/Services/Agent/Agent.cpp
+++ b/Services/Agent/Agent.cpp
@@ -113,7 +113,7 @@
              { "superseded", m_monitor.isSuperseded() },
              { "open_requests", openRequests() },
              { "reservations", load.reservations },
-             { "kv_used", load.kvUsed },
+             { "kv_used", load.kvTokensInUse },
              { "kv_capacity", load.kvCapacity },
              { "outcome_backlog", m_records.backlogSize() },
              { "released", m_monitor.releasedCount() } };
--- a/Services/Agent/AttemptService.cpp
+++ b/Services/Agent/AttemptService.cpp
@@ -227,7 +227,7 @@
               .model = request.model,
               .rank = rank,
               .prefillTokens = tokens,
-              .kvTokens = tokens
+              .kvTokenCount = tokens
                       + std::max<std::int64_t>(0, request.maximumTokens - request.resumeOffset),
               .reservationId = request.reservationId,
               .deadline = m_clock.now() + Milliseconds(request.deadlineMilliseconds) });
--- a/Services/Agent/LoadReporter.cpp
+++ b/Services/Agent/LoadReporter.cpp
@@ -89,7 +89,7 @@
         .incarnation = m_identity.incarnation,
         .accepting = load.accepting,
         .models = { load.models.begin(), load.models.end() },
-        .kvUsed = load.kvUsed,
+        .kvTokensInUse = load.kvTokensInUse,
         .kvCapacity = load.kvCapacity,
         .running = static_cast<std::int64_t>(load.running),
         .waiting = load.engine.waiting + static_cast<std::int64_t>(load.waiting),
--- a/Services/Agent/UpstreamGate.cpp
+++ b/Services/Agent/UpstreamGate.cpp
@@ -188,7 +188,8 @@
              .engine = m_engineLoad,
              .models = m_admission.models(),
              // The engine's report lags; what is charged here is known at once.
-             .kvUsed = std::max(m_engineResponds ? m_engineLoad.kvUsed : 0, m_ledger.used()),
+             .kvTokensInUse =
+                     std::max(m_engineResponds ? m_engineLoad.kvTokensInUse : 0, m_ledger.used()),
              .kvCapacity = m_ledger.capacity(),
              .running = m_admission.runningCount(),
              .waiting = m_admission.waitingCount(),
--- a/Services/Agent/UpstreamGate.h
+++ b/Services/Agent/UpstreamGate.h
@@ -62,7 +62,7 @@
         bool engineResponds { false };
         EngineLoad engine {};
         std::set<std::string> models {};
-        std::int64_t kvUsed { 0 };
+        std::int64_t kvTokensInUse { 0 };
         std::int64_t kvCapacity { 0 };
         std::size_t running { 0 };
         std::size_t waiting { 0 };
--- a/Services/Entry/CompletionService.cpp
+++ b/Services/Entry/CompletionService.cpp
@@ -85,7 +85,7 @@
 bool CompletionService::needsSeveralEngines(const AdmittedCompletion &admitted) const
 {
     const RouteDecision &decision = admitted.selection.decision;
-    return !admitted.selection && decision.cost.kvTokens > decision.largestCapacity;
+    return !admitted.selection && decision.cost.kvTokenCount > decision.largestCapacity;
 }
 
 void CompletionService::settle(const AdmittedCompletion &admitted, const CompletionOutcome &outcome)
@@ -101,7 +101,7 @@
     if (admitted.selection)
         m_estimator.observe(order.model, order.prompt.size(), outcome.usage.promptTokens);
     m_estimator.observeOutput(order.model, outcome.tokens);
-    const std::int64_t expected = cost.kvTokens - order.promptTokens;
+    const std::int64_t expected = cost.kvTokenCount - order.promptTokens;
     if (expected <= 0)
         return;
     // The charge was for the expected output; the customer pays for the true one.
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -53,7 +53,13 @@
     waitForSignals();
     accept();
     scheduleSweep();
-    m_peers.start([this](const ConfigurationSnapshot &snapshot) { configurationRead(snapshot); });
+    m_peers.start([this](const ConfigurationSnapshot &snapshot,
+                         const std::vector<UpstreamRecord> &upstreams) {
+        configurationRead(snapshot);
+        // Only until the store lists them itself, which is never older than a peer's view.
+        if (!m_upstreamsKnown)
+            upstreamsListed(upstreams);
+    });
     m_source.start(*this, m_state.settings.peerAddress);
     m_context.run();
     log(LogLevel::Info, "gateway", "stopped", { { "open_requests", m_state.openRequests } });
@@ -159,12 +165,22 @@
         return { .contentType = "text/plain; version=0.0.4",
                  .body = m_state.metrics.toPrometheusText() };
     if (target == "/configuration" && m_state.configuration)
-        return { .body = nlohmann::json { { "revision", m_state.configurationRevision },
-                                          { "text", m_configurationText } }
-                                 .dump() };
+        return { .body = servingState() };
     return { .status = 404 };
 }
 
+std::string GatewayProcess::servingState() const
+{
+    nlohmann::json upstreams = nlohmann::json::array();
+    for (const UpstreamRecord &record : m_state.upstreams.records())
+        upstreams.push_back(record.toJson());
+    return nlohmann::json {
+        { "revision", m_state.configurationRevision },
+        { "text", m_configurationText },
+        { "upstreams", std::move(upstreams) }
+    }.dump();
+}
+
 void GatewayProcess::configurationRead(const ConfigurationSnapshot &snapshot)
 {
     if (snapshot.revision <= m_state.configurationRevision)
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -32,6 +32,7 @@
     void continueStop(TimePoint now);
     bool isReady() const;
     LocalResponse answerPeer(const std::string &target);
+    std::string servingState() const;
 
     void configurationRead(const ConfigurationSnapshot &snapshot) override;
     void upstreamsListed(const std::vector<UpstreamRecord> &records) override;
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -41,7 +41,7 @@
 
 PlacementKey GatewayState::beginPlacement(const Placement &placement)
 {
-    const PlacementKey key { .gateway = settings.name, .number = ++lastPlacement };
+    PlacementKey key { .gateway = settings.name, .number = ++lastPlacement };
     ledger.begin(key, placement, clock.now());
     if (placementObserver != nullptr)
         placementObserver->placed(key, placement);
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -61,9 +61,12 @@
             const nlohmann::json json = parseJson(m_body, "configuration of a peer");
             const ConfigurationSnapshot snapshot { .revision = requireInteger(json, "revision"),
                                                    .text = requireString(json, "text") };
+            std::vector<UpstreamRecord> upstreams;
+            for (const nlohmann::json &upstream : requireArray(json, "upstreams"))
+                upstreams.push_back(UpstreamRecord::parse(upstream));
             log(LogLevel::Info, "peers", "configuration fetched from a peer",
                 { { "peer", m_address }, { "revision", snapshot.revision } });
-            m_owner.m_receiver(snapshot);
+            m_owner.m_receiver(snapshot, upstreams);
         } catch (const Error &error) {
             log(LogLevel::Warning, "peers", error.what(), { { "peer", m_address } });
         }
@@ -95,7 +98,7 @@
 
 PeerExchange::~PeerExchange() = default;
 
-void PeerExchange::start(ConfigurationReceiver receiver)
+void PeerExchange::start(ServingReceiver receiver)
 {
     m_receiver = std::move(receiver);
     const asio::ip::tcp::endpoint address = parseEndpoint(m_state.settings.peerAddress);
--- a/Services/Gateway/PeerExchange.h
+++ b/Services/Gateway/PeerExchange.h
@@ -24,12 +24,14 @@
     static constexpr Duration flushPeriod { Milliseconds(50) };
     static constexpr Duration helloPeriod { Milliseconds(500) };
 
-    using ConfigurationReceiver = std::function<void(const ConfigurationSnapshot &)>;
+    /// What a peer serves by: its configuration, and the upstreams that it knows.
+    using ServingReceiver =
+            std::function<void(const ConfigurationSnapshot &, const std::vector<UpstreamRecord> &)>;
 
     explicit PeerExchange(GatewayState &state);
     ~PeerExchange() override;
 
-    void start(ConfigurationReceiver receiver);
+    void start(ServingReceiver receiver);
 
     /// Replaces the peers that the store lists; the seeds stay.
     void setMembers(const std::vector<std::string> &addresses);
@@ -65,7 +67,7 @@
     nlohmann::json m_events;
     TimePoint m_nextHello {};
     bool m_flushPosted { false };
-    ConfigurationReceiver m_receiver;
+    ServingReceiver m_receiver;
     std::shared_ptr<Fetch> m_fetch;
 };
 
--- a/Services/Load/EngineModel.cpp
+++ b/Services/Load/EngineModel.cpp
@@ -6,7 +6,7 @@
 
 void EngineModel::submit(const EngineSequence &sequence)
 {
-    if (sequence.kvTokens == 0) { // Its memory is reserved already.
+    if (sequence.kvTokenCount == 0) { // Its memory is reserved already.
         m_running.push_back(sequence);
         return;
     }
@@ -19,7 +19,7 @@
 
 bool EngineModel::reserve(std::int64_t tokens)
 {
-    if (m_kvUsed + tokens > m_settings.kvTokens)
+    if (m_kvUsed + tokens > m_settings.kvTokenCount)
         return false;
     m_kvUsed += tokens;
     return true;
@@ -42,7 +42,7 @@
 void EngineModel::admit()
 {
     // A sequence that does not fit holds up those behind it, so that it gets memory at last.
-    while (!m_waiting.empty() && reserve(m_waiting.front().kvTokens))
+    while (!m_waiting.empty() && reserve(m_waiting.front().kvTokenCount))
         m_running.splice(m_running.end(), m_waiting, m_waiting.begin());
 }
 
@@ -108,7 +108,7 @@
             continue;
         }
         result.finished.push_back(sequence->id);
-        m_kvUsed -= sequence->kvTokens;
+        m_kvUsed -= sequence->kvTokenCount;
         sequence = m_running.erase(sequence);
     }
     std::vector<EngineSequence *> completed;
--- a/Services/Load/EngineModel.h
+++ b/Services/Load/EngineModel.h
@@ -10,7 +10,7 @@
 /// Rates of the modelled engine; those of the engine stand-in.
 struct EngineModelSettings
 {
-    std::int64_t kvTokens { 450'000 };
+    std::int64_t kvTokenCount { 450'000 };
     std::int64_t tokenBudget { 2'048 }; ///< Prefill and decode tokens of one step.
     double stepSeconds { 0.02 };
     double prefillPerToken { 15e-6 };
@@ -27,7 +27,7 @@
     std::int64_t promptTokens { 0 };  ///< To prefill here.
     std::int64_t contextTokens { 0 }; ///< Before them, cached or on other engines.
     std::int64_t outputTokens { 0 };  ///< 0 for a segment that is only prefilled.
-    std::int64_t kvTokens { 0 };      ///< 0 when a reservation holds the memory.
+    std::int64_t kvTokenCount { 0 };  ///< 0 when a reservation holds the memory.
     int rank { 0 };                   ///< Order of service; 0 is a short prompt.
 
     std::int64_t prefilled { 0 };
@@ -64,7 +64,7 @@
     bool hasWork() const { return !m_running.empty() || !m_waiting.empty(); }
     EngineStep step();
 
-    std::int64_t kvUsed() const { return m_kvUsed; }
+    std::int64_t kvTokensInUse() const { return m_kvUsed; }
     std::int64_t running() const { return static_cast<std::int64_t>(m_running.size()); }
     std::int64_t waiting() const { return static_cast<std::int64_t>(m_waiting.size()); }
     std::int64_t backlog(bool shortOnly) const;
--- a/Services/Load/Experiment.cpp
+++ b/Services/Load/Experiment.cpp
@@ -37,7 +37,7 @@
     fleet.zones = readInt(map, "zones", fleet.zones);
     fleet.runners = readInt(map, "runners", fleet.runners);
     fleet.entries = readInt(map, "entries", fleet.entries);
-    fleet.kvTokens = map.integer("kv_tokens", count, fleet.kvTokens);
+    fleet.kvTokenCount = map.integer("kv_tokens", count, fleet.kvTokenCount);
     fleet.reportSeconds = map.number("report_s", { 0.01, 1e3 }, fleet.reportSeconds);
     fleet.reportLagSeconds = map.number("report_lag_s", positive, fleet.reportLagSeconds);
     fleet.budgetFactor = map.number("budget_factor", positive, fleet.budgetFactor);
--- a/Services/Load/Experiment.h
+++ b/Services/Load/Experiment.h
@@ -29,7 +29,7 @@
     int zones { 3 };
     int runners { 24 };
     int entries { 4 };
-    std::int64_t kvTokens { 450'000 };
+    std::int64_t kvTokenCount { 450'000 };
     double reportSeconds { 1 };
     double reportLagSeconds { 0.5 };
     double budgetFactor { 1.5 }; ///< Sum of the customers' budgets over the fleet's capacity.
--- a/Services/Load/FleetModel.cpp
+++ b/Services/Load/FleetModel.cpp
@@ -10,7 +10,7 @@
 EngineModelSettings engineSettings(const Experiment &experiment)
 {
     EngineModelSettings settings;
-    settings.kvTokens = experiment.fleet.kvTokens;
+    settings.kvTokenCount = experiment.fleet.kvTokenCount;
     settings.shortFirst = experiment.uses("short_first");
     return settings;
 }
@@ -42,7 +42,7 @@
         ++requests;
     }
     const double byWork = requests / work;
-    const double byMemory = requests * static_cast<double>(settings.kvTokens) / memory;
+    const double byMemory = requests * static_cast<double>(settings.kvTokenCount) / memory;
     return experiment.fleet.runners * std::min(byWork, byMemory);
 }
 
@@ -166,8 +166,8 @@
         .sequence = ++engine.reports,
         .incarnation = static_cast<std::int64_t>(engine.incarnation),
         .models = { "m" },
-        .kvUsed = engine.model.kvUsed(),
-        .kvCapacity = m_engineSettings.kvTokens,
+        .kvTokensInUse = engine.model.kvTokensInUse(),
+        .kvCapacity = m_engineSettings.kvTokenCount,
         .running = engine.model.running(),
         .waiting = engine.model.waiting(),
         .prefillBacklog = engine.model.backlog(false),
--- a/Services/Load/FleetRequests.cpp
+++ b/Services/Load/FleetRequests.cpp
@@ -21,7 +21,7 @@
     request.decision = entry.route(request, now());
     const std::int64_t tokens = request.arrival.promptTokens + request.arrival.outputTokens;
     const bool needsGroup =
-            static_cast<double>(tokens) > 0.95 * static_cast<double>(m_engineSettings.kvTokens);
+            static_cast<double>(tokens) > 0.95 * static_cast<double>(m_engineSettings.kvTokenCount);
     if (!request.decision && request.decision.refusal == RefusalReason::NoUpstream && !needsGroup) {
         if (request.tried.empty())
             return refuse(id, RefusalReason::NoUpstream);
@@ -109,7 +109,7 @@
                  .contextTokens = sent.cached,
                  .outputTokens =
                          std::max<std::int64_t>(1, sent.arrival.outputTokens - sent.delivered),
-                 .kvTokens = sent.arrival.promptTokens + sent.arrival.outputTokens,
+                 .kvTokenCount = sent.arrival.promptTokens + sent.arrival.outputTokens,
                  .rank = lengthRank(prompt) });
     });
 }
@@ -154,7 +154,7 @@
         return fail(request.id, engineName(number));
     entryOf(request).onSent(request, engineName(number),
                             { .prefillSeconds = EngineModel::idlePrefillSeconds({}, tokens, before),
-                              .kvTokens = 0 },
+                              .kvTokenCount = 0 },
                             now());
     submit(number,
            { .id = request.id,
--- /dev/null
+++ b/Tests/Fuzz/FuzzHttp.cpp
@@ -0,0 +1,58 @@
+#include "lavenderpick/Forward/EventSplitter.h"
+#include "lavenderpick/Forward/HttpParser.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <string>
+
+using namespace Lavenderpick;
+
+namespace {
+
+/// Keeps what a parser finds.
+struct Collector : MessageListener
+{
+    std::string body;
+    int messages { 0 };
+
+    void headParsed() override { }
+    void bodyParsed(std::string_view bytes) override { body.append(bytes); }
+    void messageParsed() override { ++messages; }
+};
+
+/// Parses the input in pieces and returns the body of the first message.
+std::string parse(HttpParser::Side side, std::string_view input, std::size_t piece)
+{
+    Collector collector;
+    HttpParser parser(side, collector);
+    while (!input.empty() && parser.state() != HttpParser::State::Failed
+           && parser.state() != HttpParser::State::Complete) {
+        const std::size_t taken = parser.feed(input.substr(0, piece));
+        if (taken == 0)
+            break;
+        input.remove_prefix(std::min(taken, input.size()));
+    }
+    return parser.state() == HttpParser::State::Complete ? collector.body : std::string();
+}
+
+} // namespace
+
+// The pieces in which a message arrives must not change what is read.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const std::string_view input(reinterpret_cast<const char *>(data), size);
+    for (const HttpParser::Side side :
+         { HttpParser::Side::Requests, HttpParser::Side::Responses }) {
+        if (parse(side, input, size + 1) != parse(side, input, 1))
+            std::abort();
+    }
+    EventSplitter whole;
+    EventSplitter pieces;
+    const std::string together = whole.take(input);
+    std::string joined;
+    for (const char byte : input)
+        joined += pieces.take({ &byte, 1 });
+    if (together != joined || whole.lastEventId() != pieces.lastEventId())
+        std::abort();
+    return 0;
+}
--- a/Tests/LibProtocol/TestMessages.cpp
+++ b/Tests/LibProtocol/TestMessages.cpp
@@ -16,7 +16,7 @@
     .sequence = 77,
     .incarnation = 3,
     .models = { "draft" },
-    .kvUsed = 120'000,
+    .kvTokensInUse = 120'000,
     .kvCapacity = 400'000,
     .running = 31,
     .waiting = 4,
--- a/Tests/LibUpstream/TestUpstreamAdmission.cpp
+++ b/Tests/LibUpstream/TestUpstreamAdmission.cpp
@@ -22,7 +22,7 @@
         return admission.request({ .attemptId = id,
                                    .model = "m",
                                    .prefillTokens = tokens,
-                                   .kvTokens = tokens,
+                                   .kvTokenCount = tokens,
                                    .reservationId = reservation,
                                    .deadline = now + left },
                                  now);
@@ -78,7 +78,7 @@
         return small.request({ .attemptId = id,
                                .model = "m",
                                .prefillTokens = 90'000,
-                               .kvTokens = 90'000,
+                               .kvTokenCount = 90'000,
                                .deadline = start + Seconds(60) },
                              start);
     };
--- /dev/null
+++ b/Tests/Processes/GatewayTest.py
@@ -0,0 +1,177 @@
+"""Runs gateways as processes against a stand-in of the users' platform."""
+
+import concurrent.futures
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+from local_cluster import PORTS, call, is_free, wait_until
+from platform_stand_in import Runner, Store, configuration
+
+PROGRAM = ""
+
+
+def free_port():
+    """A port below the range that the kernel gives to outgoing connections."""
+    while True:
+        port = random.choice(PORTS)
+        if is_free(port):
+            return port
+
+
+class Gateway:
+    """One process, its addresses and its log."""
+
+    def __init__(self, folder, name, store, seeds=(), host="127.0.0.1", peer_port=None):
+        self.peer_port = peer_port or free_port()
+        self.callers, self.readiness = (f"{host}:{free_port()}" for _ in range(2))
+        self.peers = f"{host}:{self.peer_port}"
+        self.settings = os.path.join(folder, name + ".yaml")
+        self.log_path = os.path.join(folder, name + ".log")
+        with open(self.settings, "w") as file:
+            json.dump({"name": name, "availability_zone": "a",
+                       "listen": {"callers": self.callers, "readiness": self.readiness, "peers": self.peers},
+                       "platform": {"address": store.address}, "seeds": list(seeds), "stop_grace": "8 s",
+                       "retries": {"ratio": 0.2, "slack": 100, "window": "10 s"}}, file)
+        self.log = open(self.log_path, "w")
+        self.process = subprocess.Popen([PROGRAM, "gateway", "--settings", self.settings],
+                                        stdout=self.log, stderr=self.log)
+
+    def is_ready(self):
+        try:
+            return call(self.readiness, "GET", "/readyz", timeout=1).status == 200
+        except OSError:
+            return False
+
+    def send(self, path, identifier="r1", body=None, key="key-1", **headers):
+        fields = {"Host": "h", "Api-Key": key, "X-Attempt-Id": identifier, "X-Deadline-Ms": "5000", **headers}
+        return call(self.callers, "POST" if body else "GET", path, body, fields, timeout=10)
+
+    def lines(self):
+        with open(self.log_path) as file:
+            return [json.loads(line) for line in file]
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.log.close()
+
+
+class GatewayTest(unittest.TestCase):
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = Store()
+        self.store.put("op", "config", configuration(1))
+        self.runners = [Runner(self.store, f"c-{number}", "calls") for number in range(2)]
+        self.engines = [Runner(self.store, f"e-{number}", "engines") for number in range(2)]
+        self.gateways = []
+
+    def tearDown(self):
+        for gateway in self.gateways:
+            gateway.stop()
+        for stand_in in [self.store, *self.runners, *self.engines]:
+            stand_in.stop()
+        self.folder.cleanup()
+
+    def start(self, name="gateway-1", wait=True, **options):
+        gateway = Gateway(self.folder.name, name, self.store, **options)
+        self.gateways.append(gateway)
+        if wait:
+            wait_until(gateway.is_ready, 10, f"{name} is not ready")
+        return gateway
+
+    def test_serves_each_kind_of_request(self):
+        gateway = self.start()
+        answer = gateway.send("/once/1", "once-1", body={"pairs": 1})
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.json(), {"tenant": "customer-1"})
+        self.assertEqual(gateway.send("/lookup/1").headers["X-Server-Seal"], "seal")
+        stream = gateway.send("/stream/", "s-1", **{"X-Token-Counts": "1000,50"})
+        self.assertEqual(stream.body.count(b"id: "), 5)
+        self.assertEqual(sum(runner.ran.count("once-1") for runner in self.runners), 1)
+
+    def test_a_change_and_a_taken_key_are_in_force_within_a_second(self):
+        gateway = self.start()
+        self.assertEqual(gateway.send("/added/").status, 404)
+        self.store.put("op", "config", configuration(2, keys=["key-2"], extra_routes=["added"]))
+        wait_until(lambda: gateway.send("/added/", key="key-2").status == 200, 1, "the change is not in force")
+        self.assertEqual(gateway.send("/lookup/", key="key-1").status, 401)
+
+    def test_a_leaving_runner_gets_nothing_new(self):
+        gateway = self.start()
+        self.runners[0].register("draining")
+        wait_until(lambda: any(line["message"] == "upstream changed" and line["state"] == "leaving"
+                               for line in gateway.lines()), 1, "the change was not seen")
+        for number in range(5):
+            gateway.send("/lookup/", f"after-{number}")
+        self.assertFalse([run for run in self.runners[0].ran if run.startswith("after")])
+
+    def test_requests_are_served_while_the_store_is_away(self):
+        gateway = self.start()
+        self.store.refusing = True
+        wait_until(lambda: any(line["message"] == "store lost" for line in gateway.lines()), 4, "not noticed")
+        self.assertEqual(gateway.send("/lookup/").status, 200)
+        self.store.refusing = False
+        wait_until(lambda: any(line["message"] == "store regained" for line in gateway.lines()), 2, "not regained")
+
+    def test_a_gateway_that_the_store_refuses_learns_from_its_peer(self):
+        first = self.start()
+        refusing = Store()
+        refusing.refusing = True
+        second = Gateway(self.folder.name, "gateway-2", refusing, host="127.0.0.2",
+                         peer_port=first.peer_port, seeds=["127.0.0.1:1"])
+        self.gateways.append(second)
+        wait_until(second.is_ready, 5, "gateway-2 did not learn from its peer")
+        self.assertEqual(second.send("/lookup/").status, 200)
+        self.store.put("op", "config", configuration(2, keys=["key-2"]))
+        wait_until(lambda: second.send("/lookup/", key="key-1").status == 401, 2, "the taken key is still in force")
+        refusing.stop()
+
+    def test_a_stop_cuts_off_nothing(self):
+        gateway = self.start()
+        for runner in self.runners + self.engines:
+            runner.delay = 1.5
+        with concurrent.futures.ThreadPoolExecutor(8) as threads:
+            calls = [threads.submit(gateway.send, "/once/1", f"o-{number}", {"n": number}) for number in range(3)]
+            streams = [threads.submit(gateway.send, "/stream/", f"s-{number}", None, "key-1",
+                                      **{"X-Token-Counts": "1000,50"}) for number in range(3)]
+            time.sleep(0.4)
+            gateway.process.send_signal(signal.SIGTERM)
+            time.sleep(0.2)
+            self.assertFalse(gateway.is_ready())
+            for answer in [future.result() for future in calls + streams]:
+                self.assertEqual(answer.status, 200)
+        self.assertEqual(gateway.process.wait(8), 0)
+
+    def test_settings_are_read_again_on_a_hangup(self):
+        gateway = self.start()
+        gateway.process.send_signal(signal.SIGHUP)
+        wait_until(lambda: any(line["message"] == "settings reloaded" for line in gateway.lines()), 2, "not reloaded")
+        self.assertEqual(gateway.send("/lookup/").status, 200)
+
+    def test_metrics_count_refusals(self):
+        gateway = self.start()
+        gateway.send("/nowhere/")
+        text = call(gateway.peers, "GET", "/metrics").body.decode()
+        self.assertIn('lavenderpick_refusals_total{reason="not_found"} 1', text)
+
+    def test_a_request_can_be_followed_by_its_id(self):
+        gateway = self.start()
+        gateway.send("/lookup/", "find-me")
+
+        def messages():
+            return [line["message"] for line in gateway.lines() if line.get("request_id") == "find-me"]
+
+        wait_until(lambda: messages() == ["sent", "finished"], 2, "the story is not whole")
+
+
+if __name__ == "__main__":
+    PROGRAM = os.path.join(sys.argv.pop(1), "Utilities", "lavenderpick")
+    unittest.main(verbosity=2)
--- /dev/null
+++ b/Tests/Processes/platform_stand_in.py
@@ -0,0 +1,182 @@
+"""The users' platform on loopback: its store, and runners that answer calls and streams."""
+
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *arguments):
+        pass
+
+    def respond(self, status, body=b"", headers=None):
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def respond_json(self, status, value):
+        self.respond(status, json.dumps(value).encode(), {"Content-Type": "application/json"})
+
+    def read_body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def do_GET(self):
+        self.server.owner.answer(self)
+
+    do_POST = do_GET
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, request, client_address):
+        """A gateway that is killed leaves its polls."""
+
+
+class StandIn:
+    """A server on a free port whose `answer` handles each request."""
+
+    def __init__(self):
+        self.server = Server(("127.0.0.1", 0), Handler)
+        self.server.owner = self
+        self.address = f"127.0.0.1:{self.server.server_port}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Store(StandIn):
+    """Rows with revisions and polls for changes. `refusing` answers every call with 503."""
+
+    def __init__(self):
+        self.condition = threading.Condition()
+        self.rows = {}
+        self.changes = []
+        self.revision = 1
+        self.refusing = False
+        super().__init__()
+
+    def put(self, table, key, value):
+        with self.condition:
+            self.revision += 1
+            row = {"table": table, "part": "", "key": key, "revision": self.revision,
+                   "value": base64.b64encode(json.dumps(value).encode()
+                                             if not isinstance(value, bytes) else value).decode()}
+            self.rows[(table, key)] = row
+            self.changes.append(row)
+            self.condition.notify_all()
+
+    def remove(self, table, key):
+        with self.condition:
+            self.revision += 1
+            self.rows.pop((table, key), None)
+            self.changes.append({"table": table, "part": "", "key": key, "removed": True,
+                                 "revision": self.revision})
+            self.condition.notify_all()
+
+    def answer(self, handler):
+        url = urllib.parse.urlsplit(handler.path)
+        query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
+        body = handler.read_body()
+        if self.refusing:
+            handler.respond_json(503, {})
+        elif url.path == "/rows-tx":
+            for row in json.loads(body)["setKeys"]:
+                self.put(row["table"], row["key"], base64.b64decode(row["value"]))
+            handler.respond_json(200, {"revision": self.revision, "nowMs": 0})
+        elif url.path == "/rows-get":
+            with self.condition:
+                records = [row for (table, _), row in sorted(self.rows.items()) if table == query["table"]]
+                handler.respond_json(200, {"records": records, "hasMore": False,
+                                           "revision": self.revision, "nowMs": 0})
+        else:
+            self.poll(handler, query)
+
+    def poll(self, handler, query):
+        after = int(query["afterRev"])
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+
+        def records():
+            return [row for row in self.changes if row["table"] == query["table"] and row["revision"] > after]
+
+        with self.condition:
+            while not records() and time.monotonic() < end and not self.refusing:
+                self.condition.wait(0.05)
+            answer = {"records": records(), "revision": self.revision, "nowMs": 0}
+        handler.respond_json(200, answer)
+
+
+class Runner(StandIn):
+    """Answers calls at once, or after `delay` seconds, and streams of five events."""
+
+    def __init__(self, store, identifier, service):
+        self.identifier = identifier
+        self.service = service
+        self.store = store
+        self.delay = 0
+        self.ran = []
+        super().__init__()
+        self.register("ready")
+
+    def register(self, state):
+        self.store.put("servers", self.identifier, {
+            "service": self.service, "address": self.address, "zone": "a", "version": "v1", "capacity": 8,
+            "state": state, "coldLeftMs": 0, "seq": 1, "born": 1})
+
+    def answer(self, handler):
+        handler.read_body()
+        if handler.headers.get("X-Expect-Instance") != self.identifier:
+            handler.respond(421)
+            return
+        self.ran.append(handler.headers["X-Attempt-Id"])
+        headers = {"X-Attempt-Id": handler.headers["X-Attempt-Id"], "X-Server-Seal": "seal"}
+        if handler.headers.get("X-Token-Counts"):
+            self.stream(handler, headers)
+            return
+        time.sleep(self.delay)
+        handler.respond(200, json.dumps({"tenant": handler.headers.get("X-Tenant-Name")}).encode(), headers)
+
+    def stream(self, handler, headers):
+        handler.send_response(200)
+        for name, value in headers.items():
+            handler.send_header(name, value)
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        for number in range(1, 6):
+            event = f"id: {number}\ndata: x\n\n".encode()
+            handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            handler.wfile.flush()
+            time.sleep(self.delay / 5)
+        handler.wfile.write(b"0\r\n\r\n")
+
+
+def configuration(version, keys=("key-1",), extra_routes=()):
+    """An operator's configuration with a call that runs once, a lookup and a stream."""
+    def route(name, kind, service, **fields):
+        return {"name": name, "host": "h", "prefix": f"/{name}/", "routeKind": kind, "timeoutMs": 5000,
+                "sloMs": 300, "priority": 1, "service": service, "maxAttempts": 2, "anonymous": False, **fields}
+
+    engine = {"capacity": 8, "kvTokens": 100000, "tokenStride": 10, "step_ms": 1, "per_seq_ms": 0,
+              "context_per_k": 0, "read_per_s": 100000, "pairs_per_m": 0, "chunk": 1000, "hopMs": 0}
+    routes = [route("once", "unsafe", "calls"), route("lookup", "safe", "calls"),
+              route("stream", "streaming", "engines", resumable=True, sticky=True, gapTargetMs=500)]
+    routes += [route(name, "safe", "calls") for name in extra_routes]
+    return {"version": version, "routes": routes,
+            "services": [{"name": "calls", "healthPath": "/healthz", "maxConnections": 100},
+                         {"name": "engines", "healthPath": "/healthz", "maxConnections": 100,
+                          "engineParams": engine}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeoutMs": 3000,
+                       "idleTimeoutMs": 15000},
+            "tenants": [{"name": "customer-1", "apiKeys": list(keys)}]}
--- a/Tests/ServiceLoad/TestFleetModel.cpp
+++ b/Tests/ServiceLoad/TestFleetModel.cpp
@@ -72,20 +72,26 @@
 // Guards against an engine model that leaks KV memory or forgets the order of service.
 BOOST_AUTO_TEST_CASE(engine_serves_short_first_and_frees_memory)
 {
-    EngineModel engine({ .kvTokens = 100'000 });
-    engine.submit(
-            { .id = 1, .promptTokens = 60'000, .outputTokens = 5, .kvTokens = 60'005, .rank = 1 });
+    EngineModel engine({ .kvTokenCount = 100'000 });
+    engine.submit({ .id = 1,
+                    .promptTokens = 60'000,
+                    .outputTokens = 5,
+                    .kvTokenCount = 60'005,
+                    .rank = 1 });
     engine.step();
-    engine.submit(
-            { .id = 2, .promptTokens = 60'000, .outputTokens = 5, .kvTokens = 60'005, .rank = 1 });
-    engine.submit({ .id = 3, .promptTokens = 1'000, .outputTokens = 1, .kvTokens = 1'001 });
+    engine.submit({ .id = 2,
+                    .promptTokens = 60'000,
+                    .outputTokens = 5,
+                    .kvTokenCount = 60'005,
+                    .rank = 1 });
+    engine.submit({ .id = 3, .promptTokens = 1'000, .outputTokens = 1, .kvTokenCount = 1'001 });
     std::vector<std::uint64_t> finished;
     while (engine.hasWork()) {
         const EngineStep step = engine.step();
         finished.insert(finished.end(), step.finished.begin(), step.finished.end());
     }
     BOOST_TEST((finished == std::vector<std::uint64_t> { 3, 1, 2 }));
-    BOOST_TEST(engine.kvUsed() == 0);
+    BOOST_TEST(engine.kvTokensInUse() == 0);
 }
 
 // Guards against a later change that gives up the isolation of short requests.
--- a/Tests/StandIns/EngineSimulation.cpp
+++ b/Tests/StandIns/EngineSimulation.cpp
@@ -99,12 +99,12 @@
             tokensInBytes(request.prompt.size()) + tokensInBytes(request.resumeText.size());
     sequence.firstOffset = request.resumeOffset;
     sequence.maximumTokens = isSegment ? 0 : request.maximumTokens;
-    sequence.kvTokens = sequence.promptTokens
+    sequence.kvTokenCount = sequence.promptTokens
             + std::max<std::int64_t>(0, sequence.maximumTokens - request.resumeOffset);
     sequence.text = request.resumeText;
     sequence.priority = request.priority;
     sequence.arrival = ++m_arrivals;
-    if (sequence.kvTokens > m_options.kvCapacity)
+    if (sequence.kvTokenCount > m_options.kvCapacity)
         return false;
     const bool added = m_sequences.emplace(request.id, std::move(sequence)).second;
     m_changed.notify_all();
@@ -118,7 +118,7 @@
     if (found == m_sequences.end())
         return false;
     if (found->second.admitted && !found->second.finished)
-        m_kvUsed -= found->second.kvTokens;
+        m_kvUsed -= found->second.kvTokenCount;
     m_sequences.erase(found);
     m_changed.notify_all();
     return true;
@@ -144,9 +144,9 @@
         if (sequence->admitted)
             continue;
         // A sequence that doesn't fit holds those behind it back, so that it can't starve.
-        if (m_kvUsed + sequence->kvTokens > m_options.kvCapacity)
+        if (m_kvUsed + sequence->kvTokenCount > m_options.kvCapacity)
             return;
-        m_kvUsed += sequence->kvTokens;
+        m_kvUsed += sequence->kvTokenCount;
         sequence->admitted = true;
         sequence->cachedTokens = m_cache.cachedTokens(sequence->blocks);
         sequence->prefilled = sequence->cachedTokens;
@@ -192,7 +192,7 @@
 {
     sequence.finished = true;
     sequence.finishedAt = std::chrono::steady_clock::now();
-    m_kvUsed -= sequence.kvTokens;
+    m_kvUsed -= sequence.kvTokenCount;
     if (sequence.isSegment)
         sequence.handle = newHandle(sequence.digest, sequence.promptTokens);
     m_cache.insert(sequence.blocks);
--- a/Tests/StandIns/EngineSimulation.h
+++ b/Tests/StandIns/EngineSimulation.h
@@ -57,7 +57,7 @@
     std::int64_t promptTokens { 0 };  ///< Tokens to prefill here, with those of `resumeText`.
     std::int64_t cachedTokens { 0 };
     std::int64_t prefilled { 0 };
-    std::int64_t kvTokens { 0 }; ///< Charged from admission until the end.
+    std::int64_t kvTokenCount { 0 }; ///< Charged from admission until the end.
     std::int64_t firstOffset { 0 };
     std::int64_t maximumTokens { 0 };
     std::string text {}; ///< The whole answer so far.
--- a/include/lavenderpick/Forward/LoadLedger.h
+++ b/include/lavenderpick/Forward/LoadLedger.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -17,7 +18,11 @@
     std::string gateway;
     std::uint64_t number { 0 };
 
-    auto operator<=>(const PlacementKey &) const = default;
+    bool operator==(const PlacementKey &) const = default;
+    bool operator<(const PlacementKey &other) const
+    {
+        return std::tie(gateway, number) < std::tie(other.gateway, other.number);
+    }
 };
 
 /// The work of one request at one upstream.
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -103,7 +103,7 @@
     {
         const UpstreamRecord *record { nullptr };
         const UpstreamLoad *load { nullptr };
-        double waitMs { 0 }; ///< Until what is open there is read.
+        double readWaitMs { 0 }; ///< Until what is open there is read.
         double writingPassMs { 0 };
         double readBias { 0 };  ///< Zone and jitter.
         double writeBias { 0 }; ///< Fill and pause; for the upstream that answers.
--- a/include/lavenderpick/Forward/UpstreamDirectory.h
+++ b/include/lavenderpick/Forward/UpstreamDirectory.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +28,11 @@
     std::int64_t startedMs { 0 }; ///< Unix time of its start; another value is another process.
 
     bool operator==(const UpstreamRecord &) const = default;
+
+    nlohmann::json toJson() const;
+
+    /// Throws `Error` of kind InvalidMessage.
+    static UpstreamRecord parse(const nlohmann::json &json);
 };
 
 /// The upstreams that the platform lists. Not safe for concurrent use.
@@ -60,6 +66,9 @@
     /// Those of the service that may get new work, by id. Valid until the next change.
     const std::vector<const UpstreamRecord *> &ready(const std::string &service) const;
 
+    /// All that are listed.
+    std::vector<UpstreamRecord> records() const;
+
     std::size_t size() const { return m_entries.size(); }
 
     /// Rises with each change.
--- a/include/lavenderpick/Protocol/Datagrams.h
+++ b/include/lavenderpick/Protocol/Datagrams.h
@@ -30,7 +30,7 @@
     std::int64_t incarnation { 0 };
     bool accepting { true };            ///< False while the upstream is draining or unhealthy.
     std::vector<std::string> models {}; ///< Models, or the services of a plain service.
-    std::int64_t kvUsed { 0 };
+    std::int64_t kvTokensInUse { 0 };
     std::int64_t kvCapacity { 0 };
     std::int64_t running { 0 };
     std::int64_t waiting { 0 };
--- a/include/lavenderpick/Routing/CostModel.h
+++ b/include/lavenderpick/Routing/CostModel.h
@@ -22,7 +22,7 @@
 {
     double prefillSeconds { 0 };
     double decodeSeconds { 0 };
-    std::int64_t kvTokens { 0 };
+    std::int64_t kvTokenCount { 0 };
 
     /// Engine time charged to budgets. Decoding shares each step with the whole batch.
     double chargedSeconds() const { return prefillSeconds + decodeSeconds / decodeBatch; }
--- a/include/lavenderpick/Upstream/Engine.h
+++ b/include/lavenderpick/Upstream/Engine.h
@@ -44,7 +44,7 @@
 
 struct EngineLoad
 {
-    std::int64_t kvUsed { 0 };
+    std::int64_t kvTokensInUse { 0 };
     std::int64_t kvCapacity { 0 };
     std::int64_t running { 0 };
     std::int64_t waiting { 0 };
--- a/include/lavenderpick/Upstream/UpstreamAdmission.h
+++ b/include/lavenderpick/Upstream/UpstreamAdmission.h
@@ -37,7 +37,7 @@
     std::string model;
     std::int64_t rank { 0 };          ///< Of the request's priority; higher is served first.
     std::int64_t prefillTokens { 0 }; ///< Tokens to prefill.
-    std::int64_t kvTokens { 0 };      ///< Memory until the end of the attempt.
+    std::int64_t kvTokenCount { 0 };  ///< Memory until the end of the attempt.
     std::string reservationId {};
     TimePoint deadline;
 };
@@ -110,7 +110,7 @@
     struct Running
     {
         std::string attemptId;
-        std::int64_t kvTokens;
+        std::int64_t kvTokenCount;
         bool isLong;
     };
 
