--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -475,7 +475,9 @@
 
 bool Exchange::shouldRepeatFailure() const
 {
-    return m_response.status >= 500 && mayRepeat(AttemptOutcome::Failed);
+    // The run that this response tells of is not counted yet.
+    return m_response.status >= 500 && m_possibleRuns + 1 < m_route->maximumUpstreams
+            && mayRepeat(AttemptOutcome::Failed);
 }
 
 void Exchange::forwardBufferedFailure()
@@ -549,8 +551,7 @@
         return false;
     if (outcome != AttemptOutcome::Failed)
         return m_possibleRuns == 0 || m_route->isIdempotent();
-    // When a response is weighed, its run is not counted yet; it is one of the allowed runs.
-    return m_route->isIdempotent() && std::max(1, m_possibleRuns) < m_route->maximumUpstreams;
+    return m_route->isIdempotent() && m_possibleRuns < m_route->maximumUpstreams;
 }
 
 void Exchange::repeat(AttemptOutcome outcome, const std::string &cause)
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -176,6 +176,16 @@
     BOOST_CHECK_EQUAL(view->body, "why");
 }
 
+BOOST_AUTO_TEST_CASE(theLastFailureOfASafeRequestIsForwarded)
+{
+    const auto &first = addUpstream("u1", answering("why", 500));
+    const auto &second = addUpstream("u2", answering("why", 500));
+    const auto view = get("/safe/");
+    BOOST_CHECK_EQUAL(view->status, 500);
+    BOOST_CHECK_EQUAL(view->body, "why");
+    BOOST_CHECK_EQUAL(first.received().size() + second.received().size(), 2);
+}
+
 BOOST_AUTO_TEST_CASE(anUpstreamThatIsAnotherProcessIsSkipped)
 {
     addUpstream("u1", answering("", 421, ""));
