EventSplitter: Find blank lines line by line

Cause: the search for an event's end joined line ends of two events, so that a blank line more or less was kept back depending on how the bytes arrived.

--- a/Libraries/LibForward/EventSplitter.cpp
+++ b/Libraries/LibForward/EventSplitter.cpp
@@ -5,13 +5,17 @@
 std::string EventSplitter::take(std::string_view bytes)
 {
     m_partial.append(bytes);
-    const std::size_t lineFeeds = m_partial.rfind("\n\n");
-    const std::size_t lines = m_partial.rfind("\r\n\r\n");
     std::size_t end = 0;
-    if (lineFeeds != std::string::npos)
-        end = lineFeeds + 2;
-    if (lines != std::string::npos && lines + 4 > end)
-        end = lines + 4;
+    std::size_t lineFeed = m_partial.find('\n', m_lineStart);
+    while (lineFeed != std::string::npos) {
+        const std::size_t length = lineFeed - m_lineStart;
+        const bool blank = length == 0 || (length == 1 && m_partial[m_lineStart] == '\r');
+        m_lineStart = lineFeed + 1;
+        if (blank)
+            end = m_lineStart;
+        lineFeed = m_partial.find('\n', m_lineStart);
+    }
+    m_lineStart -= end;
     std::string whole = m_partial.substr(0, end);
     m_partial.erase(0, end);
     readEvents(whole);
@@ -22,6 +26,7 @@
 {
     const std::size_t dropped = m_partial.size();
     m_partial.clear();
+    m_lineStart = 0;
     return dropped;
 }
 
--- a/Tests/LibForward/TestEventSplitter.cpp
+++ b/Tests/LibForward/TestEventSplitter.cpp
@@ -18,6 +18,18 @@
     BOOST_CHECK_EQUAL(events.eventCount(), 2);
 }
 
+BOOST_AUTO_TEST_CASE(furtherBlankLinesBelongToTheEventBefore)
+{
+    EventSplitter pieces;
+    std::string joined;
+    const std::string bytes = "id:1\r\n\r\n\n\r\nid";
+    for (const char byte : bytes)
+        joined += pieces.take({ &byte, 1 });
+    EventSplitter whole;
+    BOOST_CHECK_EQUAL(whole.take(bytes), joined);
+    BOOST_CHECK_EQUAL(pieces.partialBytes(), 2);
+}
+
 BOOST_AUTO_TEST_CASE(carriageReturnsEndLinesToo)
 {
     EventSplitter events;
--- a/include/lavenderpick/Forward/EventSplitter.h
+++ b/include/lavenderpick/Forward/EventSplitter.h
@@ -28,6 +28,7 @@
     void readEvents(std::string_view events);
 
     std::string m_partial;
+    std::size_t m_lineStart { 0 }; ///< In the partial event, of the line that is not whole yet.
     std::string m_lastEventId;
     std::size_t m_eventCount { 0 };
 };
