Exchange: Let a long prompt wait until its fastest reading would be late

Cause: a prompt whose best placement of the moment was late anyway was placed at once, read by two or three engines for seconds, and made others late (340,000 tokens, 3 engines, 4.2 s, while 12 engines would read it in 1.1 s as soon as they are free). It now waits until even the fastest split would be late.

--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -176,6 +176,9 @@
         decision.placement.size = request.size;
         decision.placement.gapObjective = request.gapObjective;
         decision.placement.firstDue = now + request.objectiveLeft;
+        const int parts =
+                splits ? std::min(m_settings.maximumParts, static_cast<int>(all.size())) : 1;
+        decision.fastestFirstMs = readMs(engine, request.size.promptTokens, parts);
         return decision;
     }
     if (all.empty())
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -39,6 +39,11 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+Duration fromMs(double ms)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
 double roundedMs(Duration duration)
 {
     return std::round(toMs(duration) * 10) / 10;
@@ -217,10 +222,9 @@
 {
     const TimePoint now = m_state.clock.now();
     const TimePoint due = m_arrived + m_route->objective;
-    const auto read = std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::milli>(m_decision.predictedFirstMs));
-    const TimePoint latestStart = due - read - placementMargin;
-    if (m_decision.harm <= 0 || now >= latestStart)
+    const TimePoint latestStart = due - fromMs(m_decision.fastestFirstMs) - placementMargin;
+    const bool isGood = m_decision.harm <= 0 && now + fromMs(m_decision.predictedFirstMs) <= due;
+    if (isGood || now >= latestStart)
         return false;
     m_waitingId = m_state.waiting.add(*this, latestStart);
     return true;
--- a/Tests/LibForward/TestPlacer.cpp
+++ b/Tests/LibForward/TestPlacer.cpp
@@ -156,9 +156,10 @@
                                              engine, m_fleet.upstreams(), m_ledger, at(now));
             if (!decision.isPlaced())
                 return;
-            const double latestStart =
-                    played.arrivedMs + kind.objectiveMs - decision.predictedFirstMs - 80;
-            if (decision.harm > 0 && now < latestStart) {
+            const double dueMs = played.arrivedMs + kind.objectiveMs;
+            const double latestStart = dueMs - decision.fastestFirstMs - 80;
+            const bool isGood = decision.harm <= 0 && now + decision.predictedFirstMs <= dueMs;
+            if (!isGood && now < latestStart) {
                 m_queue.add(id, at(latestStart));
                 return;
             }
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -39,6 +39,8 @@
     std::vector<MemoryReservation> reservations;
     Placement placement;           ///< For the ledger.
     double predictedFirstMs { 0 }; ///< Until the first event.
+    /// The same, were all upstreams idle and the prompt split most.
+    double fastestFirstMs { 0 };
     double cost { 0 };
     double harm { 0 }; ///< Weight of the requests of others that it would make late.
     /// When nothing can be chosen: how long until a place may be free. Empty when there is no
