Placer: Tell refused callers to return when the queue has shrunk, spread over time

Cause: Retry-After named the shortest queue of the moment, so that refused callers returned together and were refused again.

--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A round trip of a caller and some passes of an engine.
+constexpr Duration leastRetryAfter { Milliseconds(300) };
+
 double toMs(Duration duration)
 {
     return std::chrono::duration<double, std::milli>(duration).count();
@@ -183,11 +186,15 @@
     }
     if (all.empty())
         return decision;
-    // The shortest queue tells when the next place is free.
-    double shortest = all.front().readWaitMs;
+    // Callers that come back together find the same queue, so they are told when it has shrunk to
+    // what they would wait for. Without memory for the prompt, the shortest queue tells when some
+    // is free.
+    double returnMs = all.front().readWaitMs;
     for (const Candidate &candidate : all)
-        shortest = std::min(shortest, candidate.readWaitMs);
-    decision.retryAfter = fromMs(shortest) + Milliseconds(200);
+        returnMs = std::min(returnMs, candidate.readWaitMs);
+    if (best)
+        returnMs = std::max(returnMs, best->predictedFirstMs - toMs(request.objectiveLeft));
+    decision.retryAfter = fromMs(returnMs * (1 + m_random.unit() / 2)) + leastRetryAfter;
     return decision;
 }
 
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -70,7 +70,7 @@
 Meta/check-boundary.sh
 # The tests over processes mostly wait, so that the linter and the models fit beside them.
 part tests run_tests
-LINT_JOBS=2 part lint Meta/lint.sh build
+LINT_JOBS=3 part lint Meta/lint.sh build
 part models Meta/check-models.sh build
 finish_parts
 part fuzz Meta/fuzz.sh
