Gateway: Leave silent upstreams of lookups, and bound events, bodies and accepts

A lookup whose upstream is silent for three objectives goes to another one. An event without end, bodies in all connections together and a lack of descriptors are bounded; the retry window's slack is divided among all gateways known, not only those that the store lists.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -24,6 +24,11 @@
 constexpr std::size_t maximumPendingResponse = 262'144;
 constexpr Duration minimumTimeToSend { Milliseconds(5) };
 constexpr Duration defaultRetryAfter { Milliseconds(300) };
+// A lookup goes to another upstream when the first is silent for so many objectives; one that is
+// merely late has answered by then.
+constexpr int silentObjectives = 3;
+// An event is a few hundred bytes; more without an end is no event.
+constexpr std::size_t maximumEventBytes = 1'048'576;
 // Forgets a placement that never ends by itself; above the longest route timeout.
 constexpr Duration placementSlack { Seconds(2) };
 // A waiting request is placed so much before it would be late: its turn comes every 10 ms, and a
@@ -365,6 +370,11 @@
 void Exchange::forwardEvents(std::string_view bytes)
 {
     const std::string events = m_events.take(bytes);
+    if (m_events.partialBytes() > maximumEventBytes) {
+        const auto self = shared_from_this();
+        attemptEnded(AttemptOutcome::Failed, "oversized_event");
+        return;
+    }
     if (events.empty())
         return;
     recordEventTimes();
@@ -692,7 +702,14 @@
         return;
     }
     if (m_connection)
-        m_connection->checkTimeouts(now, connectTimeout, Duration {});
+        m_connection->checkTimeouts(now, connectTimeout, allowedSilence());
+}
+
+Duration Exchange::allowedSilence() const
+{
+    const bool repeatable = m_route != nullptr && m_route->kind == RouteKind::Safe
+            && m_possibleRuns + 1 < m_route->maximumUpstreams && mayRepeat(AttemptOutcome::Failed);
+    return repeatable ? silentObjectives * m_route->objective : Duration {};
 }
 
 void Exchange::logAttempt(std::string_view message, const std::string &cause) const
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -77,6 +77,7 @@
     bool mayRepeat(AttemptOutcome outcome) const;
     void repeat(AttemptOutcome outcome, const std::string &cause);
     void endAttempt();
+    Duration allowedSilence() const;
     void forwardBufferedFailure();
 
     void refuse(int status, RefusalReason reason, const std::string &message,
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -67,16 +67,19 @@
 
 void GatewayProcess::accept()
 {
+    m_accepting = true;
     m_acceptor.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted)
             return;
         if (error) {
+            // Without descriptors every further try fails at once; the sweep tries again.
             log(LogLevel::Warning, "gateway", "accepting failed: " + error.message());
-        } else {
-            const auto connection = std::make_shared<InboundConnection>(m_state, std::move(socket));
-            m_connections.insert(connection);
-            connection->start();
+            m_accepting = false;
+            return;
         }
+        const auto connection = std::make_shared<InboundConnection>(m_state, std::move(socket));
+        m_connections.insert(connection);
+        connection->start();
         accept();
     });
 }
@@ -97,6 +100,7 @@
     const TimePoint now = m_state.clock.now();
     m_source.checkTimeouts(now);
     m_peers.sweep(now);
+    m_state.retries.setGateways(m_peers.gatewayCount());
     for (const std::string &id : m_state.upstreams.expire(now))
         upstreamGone(id);
     m_state.ledger.expire(now);
@@ -106,6 +110,8 @@
     for (const auto &connection : connections)
         connection->checkTimeouts(now);
     std::erase_if(m_connections, [](const auto &connection) { return !connection->isOpen(); });
+    if (!m_accepting && m_acceptor.is_open())
+        accept();
     if (m_state.stopping)
         continueStop(now);
 }
@@ -243,7 +249,6 @@
 void GatewayProcess::membersListed(const std::vector<std::string> &addresses)
 {
     m_peers.setMembers(addresses);
-    m_state.retries.setGateways(addresses.size());
 }
 
 void GatewayProcess::storeLost(const std::string &reason)
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -56,6 +56,7 @@
     std::set<std::shared_ptr<InboundConnection>> m_connections;
     std::string m_configurationText;
     bool m_upstreamsKnown { false };
+    bool m_accepting { false };
     TimePoint m_stopBegan {};
 };
 
--- a/Services/Gateway/InboundConnection.cpp
+++ b/Services/Gateway/InboundConnection.cpp
@@ -67,6 +67,7 @@
             reject(431, RefusalReason::BadRequest, "The head of the request is too large.");
         else if (m_requestComplete && !m_rejected) {
             m_requestComplete = false;
+            m_state.bufferedBytes -= m_body.size(); // The exchange counts it from here.
             m_exchange = std::make_shared<Exchange>(m_state, *this, std::move(m_parser.request()),
                                                     std::move(m_body));
             m_body.clear();
@@ -113,8 +114,17 @@
     if (m_rejected)
         return;
     m_body.append(bytes);
+    m_state.bufferedBytes += bytes.size();
     if (m_body.size() > limits().bodyBytes)
         reject(413, RefusalReason::BodyTooLarge, "The body of the request is too large.");
+    else if (m_state.bufferedBytes > m_state.maximumBufferedBytes())
+        reject(503, RefusalReason::QueueFull, "Too many request bodies are held at once.");
+}
+
+void InboundConnection::dropBody()
+{
+    m_state.bufferedBytes -= m_body.size();
+    m_body.clear();
 }
 
 void InboundConnection::messageParsed()
@@ -148,6 +158,7 @@
     m_stream->write(response);
     m_stream->closeAfterOutput();
     m_open = false;
+    dropBody();
 }
 
 void InboundConnection::writeResponse(std::string_view bytes)
@@ -205,6 +216,7 @@
 
 void InboundConnection::close()
 {
+    dropBody();
     if (m_exchange)
         m_exchange->cancel();
     m_exchange.reset();
--- a/Services/Gateway/InboundConnection.h
+++ b/Services/Gateway/InboundConnection.h
@@ -48,6 +48,7 @@
     void reject(int status, RefusalReason reason, const std::string &message);
     void rejectBadBytes();
     void nextRequest();
+    void dropBody();
     void close();
     CallerLimits limits() const;
 
--- a/Services/Gateway/PeerExchange.h
+++ b/Services/Gateway/PeerExchange.h
@@ -39,6 +39,9 @@
     /// Tells peers of the new revision at once.
     void configurationChanged();
 
+    /// This gateway and all that it knows.
+    std::size_t gatewayCount() const { return m_peers.size() + 1; }
+
     void sweep(TimePoint now);
 
     void placed(const PlacementKey &key, const Placement &placement) override;
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -226,6 +226,31 @@
         BOOST_CHECK_EQUAL(get("/once/", "r1", "", "x")->status, 200);
 }
 
+BOOST_AUTO_TEST_CASE(aLookupLeavesASilentUpstream)
+{
+    const auto &silent = addUpstream("u1", staySilent);
+    const auto view = send("/safe/");
+    BOOST_REQUIRE(runUntil([&] { return silent.received().size() == 1; }));
+    addUpstream("u2", answering("done"));
+    advance(Milliseconds(299));
+    BOOST_CHECK(!view->isDone());
+    advance(Milliseconds(1));
+    BOOST_REQUIRE(runUntil([&] { return view->isDone(); }));
+    BOOST_CHECK_EQUAL(view->body, "done");
+}
+
+BOOST_AUTO_TEST_CASE(aCallThatRunsOnceStaysWithASilentUpstream)
+{
+    const auto &silent = addUpstream("u1", staySilent);
+    const auto &other = addUpstream("u2", staySilent);
+    const auto view = send("/once/", "r1", "", "x");
+    BOOST_REQUIRE(
+            runUntil([&] { return silent.received().size() + other.received().size() == 1; }));
+    advance(Milliseconds(1'900));
+    BOOST_CHECK(!view->isDone());
+    BOOST_CHECK_EQUAL(silent.received().size() + other.received().size(), 1);
+}
+
 BOOST_AUTO_TEST_CASE(theRoutesTimeoutEndsARequest)
 {
     addUpstream("u1", staySilent);
@@ -299,6 +324,18 @@
     BOOST_CHECK(!view->whole);
 }
 
+BOOST_AUTO_TEST_CASE(anEventWithoutEndIsNotHeldForever)
+{
+    addUpstream(
+            "e1",
+            [](const ReceivedRequest &request, const Peer &peer) {
+                peer->write(streamHead(request) + chunk(std::string(2'000'000, 'x')));
+            },
+            "engines");
+    const auto view = get("/fixed-stream/", "r1", "Tokens: 100\r\n");
+    BOOST_CHECK_EQUAL(view->status, 502);
+}
+
 BOOST_AUTO_TEST_CASE(missingMemoryIsReservedAndReleased)
 {
     std::vector<std::string> orders;
--- a/Tests/ServiceGateway/TestInboundConnection.cpp
+++ b/Tests/ServiceGateway/TestInboundConnection.cpp
@@ -66,6 +66,21 @@
     BOOST_CHECK_EQUAL(count(response, "HTTP/1.1 404"), 1);
 }
 
+BOOST_AUTO_TEST_CASE(bodiesAreBoundedInAll)
+{
+    state.settings.memoryBytes = 30'000;
+    const auto first = connect();
+    const std::string head = "POST /safe/ HTTP/1.1\r\nHost: h\r\nKey: k\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    asio::write(*first, asio::buffer(head + "1770\r\n" + std::string(6'000, 'x') + "\r\n"));
+    BOOST_REQUIRE(runUntil([&] { return state.bufferedBytes == 6'000; }));
+    BOOST_CHECK_EQUAL(statusOf(sendBytes(head + "1770\r\n" + std::string(6'000, 'x') + "\r\n")),
+                      "503");
+    BOOST_CHECK_EQUAL(state.bufferedBytes, 6'000);
+    first->close();
+    BOOST_CHECK(runUntil([&] { return state.bufferedBytes == 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(aSlowHeadTimesOut)
 {
     const auto socket = connect();
