Placer: Choose the answering engine among those that hold the prompt

Cause: the cheapest engine stood for all; when its memory was full, the request was refused as if no engine could answer. Streams gather at few engines, so that this was frequent. A gateway that starts is now also told what its peers have open.

--- a/Libraries/LibForward/LoadLedger.cpp
+++ b/Libraries/LibForward/LoadLedger.cpp
@@ -152,6 +152,21 @@
         end(key, now);
 }
 
+std::vector<LoadLedger::Known> LoadLedger::placementsOf(const std::string &gateway) const
+{
+    std::vector<Known> known;
+    for (auto entry = m_placements.lower_bound({ .gateway = gateway });
+         entry != m_placements.end() && entry->first.gateway == gateway; ++entry) {
+        const std::map<PlacementKey, OpenWork> &open =
+                load(entry->second.parts.front().upstream).open();
+        const auto work = open.find(entry->first);
+        known.push_back({ .key = entry->first,
+                          .placement = entry->second,
+                          .read = work != open.end() && !work->second.reading });
+    }
+    return known;
+}
+
 const UpstreamLoad &LoadLedger::load(const std::string &upstream) const
 {
     static const UpstreamLoad none;
--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <tuple>
 
 namespace Lavenderpick {
 
@@ -61,9 +60,13 @@
 
 double Placer::latenessCost(double firstMs, const PlacementRequest &request) const
 {
+    // A caller that leaves before its answer gets nothing, and its work is lost.
+    constexpr double abandonedShare = 1'000;
     const double objectiveMs = std::max(1.0, toMs(request.objectiveLeft));
     const double weight = generationWeight(request.size);
     const double ratio = firstMs / objectiveMs;
+    if (firstMs > toMs(request.patienceLeft))
+        return weight * abandonedShare * ratio;
     if (ratio > 1)
         return weight * (m_settings.lateShare + m_settings.nearnessShare * std::min(ratio, 10.0));
     return weight * m_settings.nearnessShare * ratio * ratio;
@@ -88,6 +91,27 @@
     return harmed;
 }
 
+std::vector<Placer::Candidate>::iterator
+Placer::chooseAnswering(std::vector<Candidate> &candidates, int parts, std::int64_t neededTokens)
+{
+    const auto holdsAll = [neededTokens](const Candidate &candidate) {
+        return candidate.freeTokens >= neededTokens;
+    };
+    // Among those that read, the one that suits the stream best; else the cheapest that holds it.
+    auto best = candidates.end();
+    for (auto entry = candidates.begin(); entry != candidates.begin() + parts; ++entry) {
+        if (holdsAll(*entry) && (best == candidates.end() || entry->writeBias < best->writeBias))
+            best = entry;
+    }
+    if (best == candidates.end())
+        best = std::find_if(candidates.begin(), candidates.end(), holdsAll);
+    if (best != candidates.end())
+        return best;
+    return std::max_element(
+            candidates.begin(), candidates.begin() + parts,
+            [](const Candidate &a, const Candidate &b) { return a.freeTokens < b.freeTokens; });
+}
+
 std::optional<PlacementDecision> Placer::placeParts(const PlacementRequest &request,
                                                     const EngineParameters &engine,
                                                     std::vector<Candidate> &candidates, int parts,
@@ -105,20 +129,11 @@
                 + candidate.readBias + (parts == 1 ? candidate.writeBias : 0);
     }
     const auto count = static_cast<std::size_t>(parts);
-    std::partial_sort(candidates.begin(), candidates.begin() + parts, candidates.end(),
-                      [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
     const std::int64_t needed = request.size.promptTokens + request.size.maximumOutputTokens;
-    // One that holds the whole prompt answers; where none does, the one that holds most of it.
-    std::iter_swap(candidates.begin(),
-                   std::min_element(candidates.begin(), candidates.begin() + parts,
-                                    [needed](const Candidate &a, const Candidate &b) {
-                                        const std::int64_t missingA =
-                                                std::max<std::int64_t>(0, needed - a.freeTokens);
-                                        const std::int64_t missingB =
-                                                std::max<std::int64_t>(0, needed - b.freeTokens);
-                                        return std::tie(missingA, a.writeBias)
-                                                < std::tie(missingB, b.writeBias);
-                                    }));
+    const auto answering = chooseAnswering(candidates, parts, needed);
+    std::rotate(candidates.begin(), answering, answering + 1);
     PlacementDecision decision;
     std::int64_t missing = needed - candidates.front().freeTokens;
     double firstMs = 0;
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -162,10 +162,11 @@
     if (gateway == m_state.settings.name)
         return;
     addPeer(sender);
-    std::string &known = m_lifetimes[gateway];
+    std::string &known = m_incarnations[gateway];
     if (known != incarnation) {
         m_state.ledger.forgetGateway(gateway, m_state.clock.now());
         known = incarnation;
+        sendOpenPlacements(sender);
     }
     for (const nlohmann::json &event : requireArray(message, "events"))
         applyEvent(gateway, event);
@@ -209,17 +210,43 @@
     }
 }
 
-void PeerExchange::placed(const PlacementKey &key, const Placement &placement)
+void PeerExchange::sendOpenPlacements(const std::string &peer)
+{
+    nlohmann::json events = nlohmann::json::array();
+    for (const LoadLedger::Known &known : m_state.ledger.placementsOf(m_state.settings.name)) {
+        events.push_back(placedMessage(known.key, known.placement));
+        if (known.read)
+            events.push_back({ promptReadEvent, known.key.number });
+        if (events.size() < maximumEvents)
+            continue;
+        sendTo(peer, datagram(events));
+        events = nlohmann::json::array();
+    }
+    if (!events.empty())
+        sendTo(peer, datagram(events));
+}
+
+nlohmann::json PeerExchange::placedMessage(const PlacementKey &key,
+                                           const Placement &placement) const
 {
     const TimePoint now = m_state.clock.now();
     nlohmann::json parts = nlohmann::json::array();
     for (const PlacedPart &part : placement.parts)
         parts.push_back(
                 { part.upstream, static_cast<std::int64_t>(part.readMs), part.memoryTokens });
-    enqueue({ placedEvent, key.number, placement.size.promptTokens,
-              placement.size.maximumOutputTokens, toMilliseconds(placement.gapObjective),
-              toMilliseconds(placement.firstDue - now), toMilliseconds(placement.expires - now),
-              std::move(parts) });
+    return { placedEvent,
+             key.number,
+             placement.size.promptTokens,
+             placement.size.maximumOutputTokens,
+             toMilliseconds(placement.gapObjective),
+             toMilliseconds(placement.firstDue - now),
+             toMilliseconds(placement.expires - now),
+             std::move(parts) };
+}
+
+void PeerExchange::placed(const PlacementKey &key, const Placement &placement)
+{
+    enqueue(placedMessage(key, placement));
 }
 
 void PeerExchange::promptRead(const PlacementKey &key)
@@ -267,24 +294,32 @@
     if (!m_socket.is_open())
         return;
     m_nextHello = now + helloPeriod;
-    const std::string datagram = nlohmann::json {
+    const std::string bytes = datagram(m_events);
+    m_events = nlohmann::json::array();
+    for (const std::string &peer : m_peers)
+        sendTo(peer, bytes);
+}
+
+std::string PeerExchange::datagram(const nlohmann::json &events) const
+{
+    return nlohmann::json {
         { "gateway", m_state.settings.name },
         { "incarnation", m_ownIncarnation },
         { "revision", m_state.configurationRevision },
-        { "events", m_events }
+        { "events", events }
     }.dump();
-    m_events = nlohmann::json::array();
-    for (const std::string &peer : m_peers) {
-        try {
-            const asio::ip::tcp::endpoint address = parseEndpoint(peer);
-            asio::error_code error;
-            m_socket.send_to(asio::buffer(datagram), { address.address(), address.port() }, 0,
-                             error);
-            if (error)
-                m_state.metrics.increment("lavenderpick_datagrams_unsent_total");
-        } catch (const Error &error) {
-            log(LogLevel::Warning, "peers", error.what());
-        }
+}
+
+void PeerExchange::sendTo(const std::string &peer, const std::string &bytes)
+{
+    try {
+        const asio::ip::tcp::endpoint address = parseEndpoint(peer);
+        asio::error_code error;
+        m_socket.send_to(asio::buffer(bytes), { address.address(), address.port() }, 0, error);
+        if (error)
+            m_state.metrics.increment("lavenderpick_datagrams_unsent_total");
+    } catch (const Error &error) {
+        log(LogLevel::Warning, "peers", error.what());
     }
 }
 
--- a/Services/Gateway/PeerExchange.h
+++ b/Services/Gateway/PeerExchange.h
@@ -58,14 +58,18 @@
     void applyEvent(const std::string &gateway, const nlohmann::json &event);
     void enqueue(nlohmann::json event);
     void flush(TimePoint now);
+    void sendOpenPlacements(const std::string &peer);
+    nlohmann::json placedMessage(const PlacementKey &key, const Placement &placement) const;
+    std::string datagram(const nlohmann::json &events) const;
+    void sendTo(const std::string &peer, const std::string &bytes);
     void fetchConfiguration(const std::string &address);
 
     GatewayState &m_state;
     asio::ip::udp::socket m_socket;
     asio::ip::udp::endpoint m_sender;
     std::vector<char> m_received;
-    std::set<std::string> m_peers;                  ///< Addresses, without this gateway's own.
-    std::map<std::string, std::string> m_lifetimes; ///< Identifier of each gateway's process.
+    std::set<std::string> m_peers;                     ///< Addresses, without this gateway's own.
+    std::map<std::string, std::string> m_incarnations; ///< Identifier of each gateway's process.
     std::string m_ownIncarnation;
     nlohmann::json m_events;
     TimePoint m_nextHello {};
--- a/Tests/LibForward/TestPlacer.cpp
+++ b/Tests/LibForward/TestPlacer.cpp
@@ -264,6 +264,31 @@
     BOOST_CHECK_NE(decision.upstream, "b");
 }
 
+BOOST_AUTO_TEST_CASE(anEngineWithoutMemoryDoesNotStandForAll)
+{
+    // Engine "b" is the cheapest, since streams gather there, and its memory is full.
+    ledger.markRead(open("b", reply, 1), start);
+    for (int prompt = 0; prompt < 2; ++prompt)
+        ledger.markRead(open("b", archive, 1), start);
+    const auto decision = placer.placeGeneration(request(reply), engine, upstreams, ledger, start);
+    BOOST_REQUIRE(decision.isPlaced());
+    BOOST_CHECK_NE(decision.upstream, "b");
+    BOOST_CHECK(decision.reservations.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aCallerIsServedInItsPatienceAlsoWhereAnotherIsMadeLate)
+{
+    for (int place = 0; place < engine.batch; ++place)
+        ledger.markRead(open("a", reply, 1), start);
+    for (const char *id : { "b", "c", "d" })
+        open(id, summary, summary.objectiveMs - 70);
+    PlacementRequest impatient = request(reply);
+    impatient.patienceLeft = Milliseconds(1'700);
+    const auto decision = placer.placeGeneration(impatient, engine, upstreams, ledger, start);
+    BOOST_REQUIRE(decision.isPlaced());
+    BOOST_CHECK_LE(decision.predictedFirstMs, 1'700);
+}
+
 BOOST_AUTO_TEST_CASE(memoryThatIsMissingIsReservedAtHelpers)
 {
     PlacementRequest huge = request(archive);
--- a/include/lavenderpick/Forward/LoadLedger.h
+++ b/include/lavenderpick/Forward/LoadLedger.h
@@ -118,6 +118,17 @@
     /// Forgets all of a gateway that restarted.
     void forgetGateway(const std::string &gateway, TimePoint now);
 
+    /// An open placement, and whether its prompt is read.
+    struct Known
+    {
+        PlacementKey key;
+        Placement placement;
+        bool read { false };
+    };
+
+    /// All open placements of a gateway.
+    std::vector<Known> placementsOf(const std::string &gateway) const;
+
     const UpstreamLoad &load(const std::string &upstream) const;
     std::size_t size() const { return m_placements.size(); }
     std::size_t busyUpstreams() const { return m_loads.size(); }
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -121,6 +121,9 @@
                                       const LoadLedger &ledger, TimePoint now) const;
     double latenessCost(double firstMs, const PlacementRequest &request) const;
     double harm(const Candidate &candidate, double readMs, TimePoint now) const;
+    /// Who answers: one that holds the prompt if there is one, else the one with most free memory.
+    static std::vector<Candidate>::iterator chooseAnswering(std::vector<Candidate> &candidates,
+                                                            int parts, std::int64_t neededTokens);
     std::optional<PlacementDecision> placeParts(const PlacementRequest &request,
                                                 const EngineParameters &engine,
                                                 std::vector<Candidate> &candidates, int parts,
