Exchange: Keep the head of an attempt apart from that of the response

Cause: a refusal during a resumption replaced the response's head, so that the upstream that went on was taken for a failure; and a large safe response that was cut was repeated behind what the caller had already. Found by reading; both tests failed first.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -322,8 +322,9 @@
 
 void Exchange::headArrived(const ResponseHead &head)
 {
+    m_attemptHead = head;
     // A resumed stream keeps the head of its first upstream.
-    if (!m_headSent || !head.isSuccess())
+    if (!m_headSent)
         m_response = head;
     const HeaderNames &names = m_state.dialect.names();
     const bool proved = head.headers.find(names.signature) != nullptr
@@ -337,7 +338,7 @@
 
 void Exchange::bodyArrived(std::string_view bytes)
 {
-    if (!m_response.isSuccess()) {
+    if (!m_attemptHead.isSuccess()) {
         if (m_buffer.size() < maximumBufferedResponse)
             m_buffer.append(bytes);
         return;
@@ -436,7 +437,7 @@
     const auto self = shared_from_this();
     m_state.pool.giveBack(m_decision.upstream, std::move(m_connection));
     m_connection.reset();
-    if (m_response.isSuccess()) {
+    if (m_attemptHead.isSuccess()) {
         m_state.outliers.recordSuccess(m_decision.upstream, m_state.clock.now());
         finishForwarding();
         return;
@@ -462,17 +463,17 @@
 
 void Exchange::handleUpstreamRefusal()
 {
-    if (m_state.dialect.isOtherUpstream(m_response)) {
+    if (m_state.dialect.isOtherUpstream(m_attemptHead)) {
         attemptEnded(AttemptOutcome::OtherUpstream, "other_upstream");
         return;
     }
-    if (m_state.dialect.provesNotRun(m_response)) {
-        attemptEnded(AttemptOutcome::NotRun, "status_" + std::to_string(m_response.status));
+    if (m_state.dialect.provesNotRun(m_attemptHead)) {
+        attemptEnded(AttemptOutcome::NotRun, "status_" + std::to_string(m_attemptHead.status));
         return;
     }
     m_state.outliers.recordFailure(m_decision.upstream, m_state.clock.now());
     if (m_headSent || shouldRepeatFailure()) {
-        attemptEnded(AttemptOutcome::Failed, "status_" + std::to_string(m_response.status));
+        attemptEnded(AttemptOutcome::Failed, "status_" + std::to_string(m_attemptHead.status));
         return;
     }
     forwardBufferedFailure();
@@ -481,7 +482,7 @@
 bool Exchange::shouldRepeatFailure() const
 {
     // The run that this response tells of is not counted yet.
-    return m_response.status >= 500 && m_possibleRuns + 1 < m_route->maximumUpstreams
+    return m_attemptHead.status >= 500 && m_possibleRuns + 1 < m_route->maximumUpstreams
             && mayRepeat(AttemptOutcome::Failed);
 }
 
@@ -554,6 +555,9 @@
     if (remaining() < minimumTimeToSend || m_connectFailures >= maximumConnectFailures
         || m_sends >= maximumSends)
         return false;
+    // Only a stream can go on behind what the caller has; another response would start anew.
+    if (m_headSent && !isStream())
+        return false;
     if (outcome != AttemptOutcome::Failed)
         return m_possibleRuns == 0 || m_route->isIdempotent();
     return m_route->isIdempotent() && m_possibleRuns < m_route->maximumUpstreams;
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -114,7 +114,8 @@
     int m_possibleRuns { 0 }; ///< Sends that are not proved "not run".
     int m_connectFailures { 0 };
 
-    ResponseHead m_response;
+    ResponseHead m_response;    ///< What the caller gets or got.
+    ResponseHead m_attemptHead; ///< Of the upstream that answers now.
     bool m_headSent { false };
     bool m_firstByteSeen { false };
     BodyFraming m_callerFraming { BodyFraming::None };
--- a/Tests/ServiceGateway/ScriptedUpstream.cpp
+++ b/Tests/ServiceGateway/ScriptedUpstream.cpp
@@ -28,6 +28,11 @@
         m_open = false;
         m_stream->close();
     }
+    void closeAfterOutput() override
+    {
+        m_open = false;
+        m_stream->closeAfterOutput();
+    }
     bool isOpen() const override { return m_open; }
 
 private:
--- a/Tests/ServiceGateway/ScriptedUpstream.h
+++ b/Tests/ServiceGateway/ScriptedUpstream.h
@@ -31,6 +31,9 @@
 
     virtual void write(const std::string &bytes) = 0;
     virtual void close() = 0;
+
+    /// Closes in order once all that was written has left.
+    virtual void closeAfterOutput() = 0;
     virtual bool isOpen() const = 0;
 };
 
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -208,6 +208,20 @@
     BOOST_CHECK_EQUAL(get("/safe/")->body, "whole");
 }
 
+BOOST_AUTO_TEST_CASE(aLargeResponseThatIsCutIsNotJoinedWithAnother)
+{
+    const auto cut = [](const ReceivedRequest &request, const Peer &peer) {
+        peer->write("HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: " + request.header("Request-Id")
+                    + "\r\nContent-Length: 200000\r\n\r\n" + std::string(100'000, 'x'));
+        peer->closeAfterOutput();
+    };
+    const auto &first = addUpstream("u1", cut);
+    const auto &second = addUpstream("u2", cut);
+    const auto view = get("/safe/");
+    BOOST_CHECK(view->failed);
+    BOOST_CHECK_EQUAL(first.received().size() + second.received().size(), 1);
+}
+
 BOOST_AUTO_TEST_CASE(repeatsEndWithTheBudget)
 {
     state.retries = RetryWindow({ .ratio = 0, .slack = 0, .window = Seconds(10) });
@@ -311,6 +325,26 @@
     BOOST_CHECK_EQUAL(view->body, event(1) + event(2) + event(3));
 }
 
+BOOST_AUTO_TEST_CASE(aBrokenStreamGoesOnAlsoAfterARefusal)
+{
+    int refusals = 0;
+    const auto script = [&](const ReceivedRequest &request, const Peer &peer) {
+        if (request.header("Last-Event-Id").empty()) {
+            peer->write(streamHead(request) + chunk(event(1)));
+            peer->close();
+        } else if (++refusals == 1) {
+            peer->write(answer(request.header("Request-Id"), "", 503, "Not-Run: 1\r\n"));
+        } else {
+            peer->write(streamHead(request) + chunk(event(2)) + "0\r\n\r\n");
+        }
+    };
+    for (const char *id : { "e1", "e2", "e3" })
+        addUpstream(id, script, "engines");
+    const auto view = get("/stream/", "r1", "Tokens: 100\r\n");
+    BOOST_CHECK(view->whole);
+    BOOST_CHECK_EQUAL(view->body, event(1) + event(2));
+}
+
 BOOST_AUTO_TEST_CASE(aStreamThatCannotGoOnDoesNotLookWhole)
 {
     const auto script = [](const ReceivedRequest &request, const Peer &peer) {
