--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -201,8 +201,10 @@
         sendAttempt();
         return;
     }
+    // A late release of an earlier attempt must not end this one's reservation.
+    const int attempt = m_sends + m_connectFailures;
     m_reserver =
-            std::make_shared<MemoryReserver>(m_state, m_requestId + "-" + std::to_string(m_sends));
+            std::make_shared<MemoryReserver>(m_state, m_requestId + "-" + std::to_string(attempt));
     m_reserver->reserve(m_decision.reservations, [weak = weak_from_this()](bool reserved) {
         const auto self = weak.lock();
         if (!self || self->m_done)
