--- a/Services/Load/EngineModel.cpp
+++ b/Services/Load/EngineModel.cpp
@@ -19,9 +19,9 @@
 
 bool EngineModel::reserve(std::int64_t tokens)
 {
-    if (m_kvUsed + tokens > m_settings.kvTokenCount)
+    if (m_kvTokensInUse + tokens > m_settings.kvTokenCount)
         return false;
-    m_kvUsed += tokens;
+    m_kvTokensInUse += tokens;
     return true;
 }
 
@@ -35,7 +35,7 @@
     m_waiting.clear();
     m_running.clear();
     m_prefixes.clear();
-    m_kvUsed = 0;
+    m_kvTokensInUse = 0;
     return ids;
 }
 
@@ -108,7 +108,7 @@
             continue;
         }
         result.finished.push_back(sequence->id);
-        m_kvUsed -= sequence->kvTokenCount;
+        m_kvTokensInUse -= sequence->kvTokenCount;
         sequence = m_running.erase(sequence);
     }
     std::vector<EngineSequence *> completed;
--- a/Services/Load/EngineModel.h
+++ b/Services/Load/EngineModel.h
@@ -56,7 +56,7 @@
 
     /// Takes `tokens` of memory; false when they are not free.
     bool reserve(std::int64_t tokens);
-    void release(std::int64_t tokens) { m_kvUsed -= tokens; }
+    void release(std::int64_t tokens) { m_kvTokensInUse -= tokens; }
 
     /// Removes all work and returns its ids.
     std::vector<std::uint64_t> crash();
@@ -64,7 +64,7 @@
     bool hasWork() const { return !m_running.empty() || !m_waiting.empty(); }
     EngineStep step();
 
-    std::int64_t kvTokensInUse() const { return m_kvUsed; }
+    std::int64_t kvTokensInUse() const { return m_kvTokensInUse; }
     std::int64_t running() const { return static_cast<std::int64_t>(m_running.size()); }
     std::int64_t waiting() const { return static_cast<std::int64_t>(m_waiting.size()); }
     std::int64_t backlog(bool shortOnly) const;
@@ -89,7 +89,7 @@
     std::list<EngineSequence> m_waiting;
     std::list<EngineSequence> m_running;
     std::list<std::pair<int, std::int64_t>> m_prefixes; ///< Least recently used first.
-    std::int64_t m_kvUsed { 0 };
+    std::int64_t m_kvTokensInUse { 0 };
     double m_lastStep { 0 };
 };
 
