Gateway: Accept callers again while no other gateway is ready

Ruled out: late readiness after the start (18 ms) and the slow store (the configuration came from a peer). Gateways now tell each other whether they take callers.

--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace Lavenderpick {
 
@@ -155,6 +156,11 @@
     if (missing > 0)
         return std::nullopt;
     decision.predictedFirstMs = firstMs;
+    const UpstreamLoad &load = *candidates.front().load;
+    const double passes = std::ceil(static_cast<double>(request.size.maximumOutputTokens)
+                                    / std::max(1, engine.strideTokens));
+    decision.predictedEndMs = firstMs
+            + passes * writingPassMs(engine, load.writers() + 1, load.contextTokens() + needed);
     decision.cost = latenessCost(firstMs, request) + shared
             + generationWeight(request.size) * m_settings.splitShare * (parts - 1);
     return decision;
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t maximumPendingResponse = 262'144;
 constexpr Duration minimumTimeToSend { Milliseconds(5) };
 constexpr Duration defaultRetryAfter { Milliseconds(300) };
+// A gateway that was stopped is back within about a second of its end.
+constexpr Duration restartTime { Seconds(1) };
 // A lookup goes to another upstream when the first is silent for so many objectives; one that is
 // merely late has answered by then.
 constexpr int silentObjectives = 3;
@@ -195,6 +197,11 @@
     }
     if (waitForBetterPlace())
         return;
+    if (!m_state.stop.mayTake(now, expectedDuration())) {
+        refuse(503, RefusalReason::NotReady, "The gateway stops before the request could end.",
+               restartTime);
+        return;
+    }
     m_decision.placement.expires = m_deadline + placementSlack;
     m_placement = m_state.beginPlacement(m_decision.placement);
     if (m_decision.reservations.empty()) {
@@ -216,6 +223,13 @@
     });
 }
 
+Duration Exchange::expectedDuration() const
+{
+    if (m_decision.predictedEndMs > 0)
+        return fromMilliseconds(m_decision.predictedEndMs);
+    return silentObjectives * m_route->objective;
+}
+
 bool Exchange::waitForBetterPlace()
 {
     const TimePoint now = m_state.clock.now();
@@ -408,7 +422,8 @@
             + "\r\n";
     appendEndToEndHeaders(m_response.headers, head);
     appendFraming(m_callerFraming, m_response.contentLength, head);
-    if (!m_head.keepAlive || m_state.stopping || m_callerFraming == BodyFraming::UntilClose)
+    if (!m_head.keepAlive || m_state.stop.isStopping()
+        || m_callerFraming == BodyFraming::UntilClose)
         appendField("Connection", "close", head);
     head += "\r\n";
     m_caller.writeResponse(head);
@@ -499,7 +514,7 @@
             "HTTP/1.1 " + std::to_string(m_response.status) + " " + m_response.reason + "\r\n";
     appendEndToEndHeaders(m_response.headers, response);
     appendFraming(BodyFraming::Length, m_buffer.size(), response);
-    if (!m_head.keepAlive || m_state.stopping)
+    if (!m_head.keepAlive || m_state.stop.isStopping())
         appendField("Connection", "close", response);
     response += "\r\n";
     if (m_head.method != "HEAD")
@@ -615,7 +630,7 @@
                                  .ran = m_possibleRuns == 0 ? Ran::No : Ran::Unknown,
                                  .requestId = m_requestId,
                                  .retryAfter = retryAfter,
-                                 .closesConnection = !m_head.keepAlive || m_state.stopping,
+                                 .closesConnection = !m_head.keepAlive || m_state.stop.isStopping(),
                                  .toHeadRequest = m_head.method == "HEAD" };
     m_caller.writeResponse(answer.toResponse(m_state.dialect.names()));
     finish(status);
@@ -646,8 +661,8 @@
           { "longest_gap_ms", roundedMs(m_longestGap) },
           { "events", m_events.eventCount() },
           { "elapsed_ms", roundedMs(m_state.clock.now() - m_arrived) } });
-    const bool keepAlive =
-            m_head.keepAlive && !m_state.stopping && m_callerFraming != BodyFraming::UntilClose;
+    const bool keepAlive = m_head.keepAlive && !m_state.stop.isStopping()
+            && m_callerFraming != BodyFraming::UntilClose;
     m_caller.finishResponse(keepAlive);
 }
 
@@ -713,6 +728,7 @@
         fields["busy_upstreams"] = m_state.ledger.busyUpstreams();
         fields["harm"] = std::round(m_decision.harm);
         fields["predicted_ms"] = std::round(m_decision.predictedFirstMs);
+        fields["predicted_end_ms"] = std::round(m_decision.predictedEndMs);
     }
     log(LogLevel::Info, "exchange", message, fields);
 }
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -50,6 +50,7 @@
     void dispatch();
     std::string chooseService() const;
     void tryAgain() override;
+    Duration expectedDuration() const;
     bool waitForBetterPlace();
     void stopWaiting();
     void refuseUnplaced();
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -3,6 +3,7 @@
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Base/Log.h"
 
+#include <algorithm>
 #include <csignal>
 #include <nlohmann/json.hpp>
 
@@ -12,10 +13,6 @@
 
 // Resolution of all timeouts; the tightest bound on them is half a second.
 constexpr Milliseconds sweepPeriod { 50 };
-// The balancer asks once a second and takes a VM out after two misses.
-constexpr Duration acceptAfterStop { Milliseconds(2'500) };
-// Kept from the grace of a stop for the process's own end.
-constexpr Duration stopReserve { Milliseconds(400) };
 
 } // namespace
 
@@ -29,7 +26,7 @@
     , m_acceptor(listenOn(context, m_state.settings.callerAddress))
     , m_readiness(context, m_state.settings.readinessAddress,
                   [this](const std::string &) {
-                      return LocalResponse { .status = isReady() ? 200 : 503 };
+                      return LocalResponse { .status = m_state.isReady() ? 200 : 503 };
                   })
     , m_peerServer(context, m_state.settings.peerAddress,
                    [this](const std::string &target) { return answerPeer(target); })
@@ -40,11 +37,6 @@
     m_state.placementObserver = &m_peers;
 }
 
-bool GatewayProcess::isReady() const
-{
-    return !m_state.stopping && m_state.configuration && m_upstreamsKnown;
-}
-
 void GatewayProcess::run()
 {
     log(LogLevel::Info, "gateway", "started",
@@ -57,7 +49,7 @@
                          const std::vector<UpstreamRecord> &upstreams) {
         configurationRead(snapshot);
         // Only until the store lists them itself, which is never older than a peer's view.
-        if (!m_upstreamsKnown)
+        if (!m_state.upstreamsKnown)
             upstreamsListed(upstreams);
     });
     m_source.start(*this, m_state.settings.peerAddress);
@@ -112,24 +104,49 @@
     std::erase_if(m_connections, [](const auto &connection) { return !connection->isOpen(); });
     if (!m_accepting && m_acceptor.is_open())
         accept();
-    if (m_state.stopping)
+    if (m_state.stop.isStopping())
         continueStop(now);
 }
 
 void GatewayProcess::continueStop(TimePoint now)
 {
-    if (now - m_stopBegan >= acceptAfterStop) {
-        // A request that is taken later might not be finished.
-        asio::error_code ignored;
-        m_acceptor.close(ignored);
+    const bool accepts = m_state.stop.acceptsConnections(now, m_peers.hasReadyPeer(now));
+    if (accepts != m_acceptor.is_open()) {
+        log(LogLevel::Info, "gateway", accepts ? "accepting again" : "accepting no more",
+            { { "stopping_ms", toMilliseconds(m_state.stop.sinceBegin(now)) },
+              { "gateways", m_peers.gatewayCount() } });
+        if (accepts)
+            reopenListener();
+        else
+            closeListener();
+    }
+    if (!accepts) {
         for (const auto &connection : m_connections)
             connection->closeIfIdle();
     }
-    const bool graceEnds = now - m_stopBegan + stopReserve >= m_state.settings.stopGrace;
-    if ((m_connections.empty() && !m_acceptor.is_open()) || graceEnds)
+    const bool serves = std::any_of(m_connections.begin(), m_connections.end(),
+                                    [](const auto &connection) { return connection->isBusy(); });
+    if (m_state.stop.isOver(now, serves))
         m_context.stop();
 }
 
+void GatewayProcess::closeListener()
+{
+    asio::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+// The last peer that was ready stops as well.
+void GatewayProcess::reopenListener()
+{
+    try {
+        m_acceptor = listenOn(m_context, m_state.settings.callerAddress);
+        accept();
+    } catch (const Error &error) {
+        log(LogLevel::Warning, "gateway", error.what());
+    }
+}
+
 void GatewayProcess::waitForSignals()
 {
     m_signals.async_wait([this](const asio::error_code &error, int signal) {
@@ -148,6 +165,7 @@
     try {
         const GatewaySettings settings = GatewaySettings::fromFile(m_settingsPath);
         m_state.settings.stopGrace = settings.stopGrace;
+        m_state.stop.setGrace(settings.stopGrace);
         m_state.settings.memoryBytes = settings.memoryBytes;
         m_state.settings.seeds = settings.seeds;
         log(LogLevel::Info, "gateway", "settings reloaded", { { "file", m_settingsPath } });
@@ -158,10 +176,10 @@
 
 void GatewayProcess::beginStop()
 {
-    if (m_state.stopping)
+    if (m_state.stop.isStopping())
         return;
-    m_state.stopping = true;
-    m_stopBegan = m_state.clock.now();
+    m_state.stop.begin(m_state.clock.now());
+    m_peers.stateChanged();
     log(LogLevel::Info, "gateway", "stopping", { { "open_requests", m_state.openRequests } });
 }
 
@@ -200,7 +218,7 @@
     }
     m_state.configurationRevision = snapshot.revision;
     m_configurationText = snapshot.text;
-    m_peers.configurationChanged();
+    m_peers.stateChanged();
     log(LogLevel::Info, "gateway", "configuration in force",
         { { "revision", snapshot.revision },
           { "version", m_state.configuration->version() },
@@ -211,7 +229,10 @@
 {
     m_state.upstreams.replaceAll(records, m_state.clock.now());
     m_state.outliers.setKnownUpstreams(m_state.upstreams.size());
-    m_upstreamsKnown = true;
+    if (!m_state.upstreamsKnown) {
+        m_state.upstreamsKnown = true;
+        m_peers.stateChanged();
+    }
     log(LogLevel::Info, "gateway", "upstreams listed",
         { { "count", records.size() }, { "directory", m_state.upstreams.generation() } });
 }
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -30,7 +30,8 @@
     void reloadSettings();
     void beginStop();
     void continueStop(TimePoint now);
-    bool isReady() const;
+    void closeListener();
+    void reopenListener();
     LocalResponse answerPeer(const std::string &target);
     std::string servingState() const;
 
@@ -55,9 +56,7 @@
     asio::signal_set m_signals;
     std::set<std::shared_ptr<InboundConnection>> m_connections;
     std::string m_configurationText;
-    bool m_upstreamsKnown { false };
     bool m_accepting { false };
-    TimePoint m_stopBegan {};
 };
 
 } // namespace Lavenderpick
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -29,6 +29,7 @@
     , placer(PlacerSettings {}, randomToUse)
     , retries(settings.retries)
     , outliers(outlierSettings())
+    , stop(settings.stopGrace)
     , pool(contextToUse, clockToRead)
     , waiting(contextToUse)
 { }
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -9,6 +9,7 @@
 #include "lavenderpick/Forward/RequestDialect.h"
 #include "lavenderpick/Forward/RetryWindow.h"
 #include "lavenderpick/Forward/ServingSource.h"
+#include "lavenderpick/Forward/StopPlan.h"
 #include "lavenderpick/Forward/UpstreamDirectory.h"
 #include "lavenderpick/Retry/OutlierDetector.h"
 
@@ -46,6 +47,7 @@
     Placer placer;
     RetryWindow retries;
     OutlierDetector outliers;
+    StopPlan stop;
     UpstreamPool pool;
     WaitingRequests waiting;
     Metrics metrics;
@@ -54,7 +56,10 @@
     std::uint64_t lastPlacement { 0 };
     std::size_t openRequests { 0 };
     std::size_t bufferedBytes { 0 }; ///< Of request bodies in all connections.
-    bool stopping { false };
+    bool upstreamsKnown { false };   ///< A whole listing was read.
+
+    /// Whether callers may be sent here.
+    bool isReady() const { return !stop.isStopping() && configuration && upstreamsKnown; }
 
     /// Most bytes of request bodies that are held at once.
     std::size_t maximumBufferedBytes() const;
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -4,6 +4,8 @@
 #include "lavenderpick/Base/Json.h"
 #include "lavenderpick/Base/Log.h"
 
+#include <algorithm>
+
 namespace Lavenderpick {
 
 namespace {
@@ -162,12 +164,14 @@
     if (gateway == m_state.settings.name)
         return;
     addPeer(sender);
-    std::string &known = m_incarnations[gateway];
-    if (known != incarnation) {
+    Known &known = m_known[gateway];
+    if (known.incarnation != incarnation) {
         m_state.ledger.forgetGateway(gateway, m_state.clock.now());
-        known = incarnation;
+        known.incarnation = incarnation;
         sendOpenPlacements(sender);
     }
+    known.ready = requireBool(message, "ready");
+    known.heard = m_state.clock.now();
     for (const nlohmann::json &event : requireArray(message, "events"))
         applyEvent(gateway, event);
     if (requireInteger(message, "revision") > m_state.configurationRevision)
@@ -259,6 +263,14 @@
     enqueue({ endedEvent, key.number });
 }
 
+bool PeerExchange::hasReadyPeer(TimePoint now) const
+{
+    // One datagram may be lost.
+    return std::any_of(m_known.begin(), m_known.end(), [now](const auto &entry) {
+        return entry.second.ready && now - entry.second.heard <= 2 * helloPeriod + flushPeriod;
+    });
+}
+
 void PeerExchange::enqueue(nlohmann::json event)
 {
     const bool urgent = event.at(0) == placedEvent;
@@ -272,7 +284,7 @@
     });
 }
 
-void PeerExchange::configurationChanged()
+void PeerExchange::stateChanged()
 {
     m_nextHello = {};
     flush(m_state.clock.now());
@@ -306,6 +318,7 @@
         { "gateway", m_state.settings.name },
         { "incarnation", m_ownIncarnation },
         { "revision", m_state.configurationRevision },
+        { "ready", m_state.isReady() },
         { "events", events }
     }.dump();
 }
--- a/Services/Gateway/PeerExchange.h
+++ b/Services/Gateway/PeerExchange.h
@@ -36,8 +36,11 @@
     /// Replaces the peers that the store lists; the seeds stay.
     void setMembers(const std::vector<std::string> &addresses);
 
-    /// Tells peers of the new revision at once.
-    void configurationChanged();
+    /// Tells peers at once of a new revision, or that this gateway became ready or stops.
+    void stateChanged();
+
+    /// Whether a peer that was heard of lately takes callers.
+    bool hasReadyPeer(TimePoint now) const;
 
     /// This gateway and all that it knows.
     std::size_t gatewayCount() const { return m_peers.size() + 1; }
@@ -51,6 +54,14 @@
 private:
     class Fetch;
 
+    /// What a gateway last told of itself.
+    struct Known
+    {
+        std::string incarnation;
+        bool ready { false };
+        TimePoint heard {};
+    };
+
     void addPeer(const std::string &address);
     void addSeeds();
     void receive();
@@ -68,8 +79,8 @@
     asio::ip::udp::socket m_socket;
     asio::ip::udp::endpoint m_sender;
     std::vector<char> m_received;
-    std::set<std::string> m_peers;                     ///< Addresses, without this gateway's own.
-    std::map<std::string, std::string> m_incarnations; ///< Identifier of each gateway's process.
+    std::set<std::string> m_peers;        ///< Addresses, without this gateway's own.
+    std::map<std::string, Known> m_known; ///< By name.
     std::string m_ownIncarnation;
     nlohmann::json m_events;
     TimePoint m_nextHello {};
--- a/Tests/Processes/AgentTest.py
+++ b/Tests/Processes/AgentTest.py
@@ -194,14 +194,17 @@
             return False
 
     def stop(self):
+        # A process that ended by itself explains what the others could not reach.
+        ended = [process.poll() for process in self.started]
         for process in self.started:
             process.send_signal(signal.SIGCONT)
             process.kill()
             process.wait()
         if sys.exc_info()[0]:
-            for number in range(len(self.started)):
+            for number, process in enumerate(self.started):
                 with open(os.path.join(self.folder.name, f"log-{number}")) as file:
-                    print(f"log {number}:", file.read()[-2000:])
+                    print(f"log {number} of {process.args[:3]}, exit code {ended[number]}:",
+                          file.read()[-4000:])
         self.folder.cleanup()
 
 
--- a/Tests/ServiceGateway/TestInboundConnection.cpp
+++ b/Tests/ServiceGateway/TestInboundConnection.cpp
@@ -101,10 +101,24 @@
 BOOST_AUTO_TEST_CASE(aStoppingGatewayAsksCallersToLeave)
 {
     addUpstream("u1", echoing());
-    state.stopping = true;
+    state.stop.begin(clock.now());
     const auto view = get("/safe/");
     BOOST_CHECK_EQUAL(view->status, 200);
     BOOST_CHECK_EQUAL(view->header("Connection"), "close");
 }
 
+BOOST_AUTO_TEST_CASE(aStoppingGatewayTakesOnlyWhatItCanFinish)
+{
+    ScriptedUpstream &upstream = addUpstream("u1", echoing());
+    state.stop.setGrace(Seconds(8));
+    state.stop.begin(clock.now());
+    clock.advance(Seconds(5));
+    BOOST_CHECK_EQUAL(get("/safe/")->status, 200);
+    clock.advance(Milliseconds(2'590));
+    const auto late = get("/safe/", "r2");
+    BOOST_CHECK_EQUAL(late->status, 503);
+    BOOST_CHECK_EQUAL(late->header("Retry-After"), "1.00");
+    BOOST_CHECK_EQUAL(upstream.received().size(), 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -39,6 +39,8 @@
     std::vector<MemoryReservation> reservations;
     Placement placement;           ///< For the ledger.
     double predictedFirstMs { 0 }; ///< Until the first event.
+    /// Until the last event, if nothing else is read meanwhile; zero for plain services.
+    double predictedEndMs { 0 };
     /// The same, were all upstreams idle and the prompt split most.
     double fastestFirstMs { 0 };
     double cost { 0 };
