Gateway: Bound connections at an upstream, tell urgency, reset cut responses without a length

Placement counts the requests that all gateways have open there; what these leave free is divided among the gateways for idle connections. - Engines admit more urgent requests first; the customer's priority goes before the route's. - A response to a caller of HTTP/1.0 ends with its connection. A cut one is now reset. Dead code goes: PlacementQueue::hasEarlier (its test asked only this function; it now checks the order after a removal), UpstreamPool::opened, the decoded and unused health path and hop time.

--- a/Libraries/LibForward/PlacementQueue.cpp
+++ b/Libraries/LibForward/PlacementQueue.cpp
@@ -21,9 +21,4 @@
     return ids;
 }
 
-bool PlacementQueue::hasEarlier(TimePoint latestStart) const
-{
-    return !m_waiting.empty() && m_waiting.begin()->first < latestStart;
-}
-
 } // namespace Lavenderpick
--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -22,7 +22,7 @@
     std::vector<Candidate> result;
     result.reserve(upstreams.size());
     for (const UpstreamRecord *record : upstreams) {
-        if (request.excluded.contains(record->id))
+        if (!request.allows(*record, ledger))
             continue;
         const UpstreamLoad &load = ledger.load(record->id);
         const double otherZone = record->availabilityZone == request.availabilityZone ? 0 : 1;
@@ -217,7 +217,7 @@
 {
     PlacementDecision decision;
     for (const UpstreamRecord *record : upstreams) {
-        if (request.excluded.contains(record->id))
+        if (!request.allows(*record, ledger))
             continue;
         const double taken = static_cast<double>(ledger.load(record->id).open().size())
                 / std::max(1, record->capacity);
--- a/Services/Gateway/ByteStream.cpp
+++ b/Services/Gateway/ByteStream.cpp
@@ -180,6 +180,13 @@
     finishClosing();
 }
 
+void ByteStream::reset()
+{
+    asio::error_code ignored;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void ByteStream::finishClosing()
 {
     if (m_lingerTimer)
--- a/Services/Gateway/ByteStream.h
+++ b/Services/Gateway/ByteStream.h
@@ -48,6 +48,9 @@
     /// Closes now; the handler hears nothing more.
     void close();
 
+    /// Closes now with a reset, so that the peer can't take what it got for whole.
+    void reset();
+
     /// Closes once all output was taken by the peer's kernel or `lingerTimeout` has passed; input
     /// is dropped. Closing with unread input would reset the connection and lose the output.
     void closeAfterOutput();
--- a/Services/Gateway/CallerStream.h
+++ b/Services/Gateway/CallerStream.h
@@ -22,8 +22,8 @@
     /// The response is whole. `keepAlive` is false where the connection must end with it.
     virtual void finishResponse(bool keepAlive) = 0;
 
-    /// Ends the connection so that the response can't look whole.
-    virtual void abortResponse() = 0;
+    /// Ends the connection so that the response, framed so, can't look whole.
+    virtual void abortResponse(BodyFraming framing) = 0;
 };
 
 } // namespace Lavenderpick
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -140,6 +140,12 @@
     return m_route->targets.empty() ? std::string() : m_route->targets.back().service;
 }
 
+int Exchange::priority() const
+{
+    return m_customer != nullptr ? m_customer->priority.value_or(m_route->priority)
+                                 : m_route->priority;
+}
+
 PlacementRequest Exchange::placementRequest() const
 {
     Duration patience = remaining();
@@ -156,6 +162,7 @@
         .gapObjective = isStream() ? m_route->gapObjective : Duration {},
         .availabilityZone = m_state.settings.availabilityZone,
         .excluded = m_excluded,
+        .maximumOpen = m_state.maximumConnections(m_service),
     };
 }
 
@@ -265,6 +272,9 @@
     else if (m_decision.retryAfter)
         refuse(503, RefusalReason::QueueFull, "No upstream can answer in time.",
                m_decision.retryAfter);
+    else if (m_excluded.size() < m_state.upstreams.ready(m_service).size())
+        refuse(503, RefusalReason::QueueFull, "No upstream takes another connection.",
+               defaultRetryAfter);
     else
         refuse(503, RefusalReason::NoUpstream, "No upstream of the service is ready.",
                defaultRetryAfter);
@@ -313,6 +323,8 @@
     appendField(names.expectedUpstream, record.id, head);
     if (m_customer != nullptr)
         appendField(names.customerName, m_customer->name, head);
+    if (m_size)
+        appendField(names.urgency, m_state.dialect.formatUrgency(priority()), head);
     if (!m_events.lastEventId().empty())
         appendField(names.lastEventId, m_events.lastEventId(), head);
     if (!m_decision.helpers.empty())
@@ -452,8 +464,10 @@
 void Exchange::responseEnded()
 {
     const auto self = shared_from_this();
-    m_state.pool.giveBack(m_decision.upstream, std::move(m_connection));
+    std::shared_ptr<HttpConnection> connection = std::move(m_connection);
     m_connection.reset();
+    endAttempt();
+    m_state.keepConnection(m_decision.upstream, std::move(connection));
     if (m_attemptHead.isSuccess()) {
         m_state.outliers.recordSuccess(m_decision.upstream, m_state.clock.now());
         finishForwarding();
@@ -643,7 +657,7 @@
     m_done = true;
     m_state.metrics.increment("lavenderpick_aborted_responses_total", "cause=\"" + cause + "\"");
     logAttempt("response cut", cause);
-    m_caller.abortResponse();
+    m_caller.abortResponse(m_callerFraming);
 }
 
 void Exchange::finish(int status)
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -55,6 +55,7 @@
     void stopWaiting();
     void refuseUnplaced();
     void place();
+    int priority() const;
     PlacementRequest placementRequest() const;
     std::vector<const UpstreamRecord *> usableUpstreams() const;
     void sendAttempt();
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -93,6 +93,7 @@
     m_source.checkTimeouts(now);
     m_peers.sweep(now);
     m_state.retries.setGateways(m_peers.gatewayCount());
+    m_state.pool.setGateways(m_peers.gatewayCount());
     for (const std::string &id : m_state.upstreams.expire(now))
         upstreamGone(id);
     m_state.ledger.expire(now);
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -30,7 +30,7 @@
     , retries(settings.retries)
     , outliers(outlierSettings())
     , stop(settings.stopGrace)
-    , pool(contextToUse, clockToRead)
+    , pool(contextToUse, clockToRead, ledger)
     , waiting(contextToUse)
 { }
 
@@ -40,6 +40,22 @@
     return static_cast<std::size_t>(settings.memoryBytes / bodyShare);
 }
 
+int GatewayState::maximumConnections(const std::string &service) const
+{
+    const ServiceProfile *profile = configuration ? configuration->findService(service) : nullptr;
+    return profile == nullptr ? 0 : profile->maximumConnections;
+}
+
+void GatewayState::keepConnection(const std::string &upstream,
+                                  std::shared_ptr<HttpConnection> connection)
+{
+    const UpstreamRecord *record = upstreams.find(upstream);
+    if (record == nullptr)
+        connection->abandon();
+    else
+        pool.giveBack(upstream, std::move(connection), maximumConnections(record->service));
+}
+
 PlacementKey GatewayState::beginPlacement(const Placement &placement)
 {
     PlacementKey key { .gateway = settings.name, .number = ++lastPlacement };
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -64,6 +64,12 @@
     /// Most bytes of request bodies that are held at once.
     std::size_t maximumBufferedBytes() const;
 
+    /// Connections that an upstream of the service takes from all gateways; zero for no bound.
+    int maximumConnections(const std::string &service) const;
+
+    /// Keeps a connection for the next request to the upstream.
+    void keepConnection(const std::string &upstream, std::shared_ptr<HttpConnection> connection);
+
     PlacementKey beginPlacement(const Placement &placement);
     void markRead(const PlacementKey &key);
     void endPlacement(const PlacementKey &key);
--- a/Services/Gateway/InboundConnection.cpp
+++ b/Services/Gateway/InboundConnection.cpp
@@ -189,11 +189,15 @@
         m_stream->resumeReading();
 }
 
-void InboundConnection::abortResponse()
+void InboundConnection::abortResponse(BodyFraming framing)
 {
     m_exchange.reset();
     m_open = false;
-    m_stream->close();
+    // A reset may lose what the caller has not read yet, so it is left to where nothing else tells.
+    if (framing == BodyFraming::UntilClose)
+        m_stream->reset();
+    else
+        m_stream->close();
 }
 
 void InboundConnection::outputDrained()
--- a/Services/Gateway/InboundConnection.h
+++ b/Services/Gateway/InboundConnection.h
@@ -32,7 +32,7 @@
     void writeResponse(std::string_view bytes) override;
     std::size_t pendingResponse() const override { return m_stream->pendingOutput(); }
     void finishResponse(bool keepAlive) override;
-    void abortResponse() override;
+    void abortResponse(BodyFraming framing) override;
 
 private:
     void bytesArrived(std::string_view bytes) override;
--- a/Services/Gateway/MemoryReserver.cpp
+++ b/Services/Gateway/MemoryReserver.cpp
@@ -50,7 +50,7 @@
 
     void responseEnded() override
     {
-        m_state.pool.giveBack(m_upstream, m_connection);
+        m_state.keepConnection(m_upstream, m_connection);
         finish(m_accepted);
     }
 
--- a/Services/Gateway/UpstreamPool.h
+++ b/Services/Gateway/UpstreamPool.h
@@ -1,45 +1,65 @@
 #pragma once
 
 #include "Services/Gateway/HttpConnection.h"
+#include "lavenderpick/Forward/LoadLedger.h"
 
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace Lavenderpick {
 
 /// Kept connections to upstreams. New ones cost time and money, so that the one that was used last
 /// is used first.
 ///
-/// FIXME: The bound on connections at an upstream is not applied; a gateway opens as many as it has
-/// requests there, which placement keeps near the upstream's places.
+/// An upstream resets connections beyond a number that all gateways share. What its open requests
+/// leave free is divided among the gateways; each keeps no more than its share.
 class UpstreamPool
 {
 public:
-    UpstreamPool(asio::io_context &context, const Clock &clock)
+    UpstreamPool(asio::io_context &context, const Clock &clock, const LoadLedger &ledger)
         : m_context(context)
         , m_clock(clock)
+        , m_ledger(ledger)
     { }
 
+    /// The number of gateways that share the upstreams, this one included.
+    void setGateways(std::size_t count) { m_gateways = count; }
+
     /// An idle connection to the process `upstream` at `address`, or a new one.
     std::shared_ptr<HttpConnection> take(const std::string &upstream, const std::string &address);
 
-    /// Keeps the connection for the next request, or closes it.
-    void giveBack(const std::string &upstream, std::shared_ptr<HttpConnection> connection);
+    /// Keeps the connection for the next request, or closes it. `maximumConnections`: of the
+    /// upstream, from all gateways; zero for no bound.
+    void giveBack(const std::string &upstream, std::shared_ptr<HttpConnection> connection,
+                  int maximumConnections);
 
-    /// Closes idle connections whose peer is about to close them.
+    /// Closes idle connections whose peer is about to close them, and those over the share.
     void closeIdle(TimePoint now);
 
     void forget(const std::string &upstream) { m_idle.erase(upstream); }
 
-    std::uint64_t opened() const { return m_opened; }
+    std::size_t idleCount(const std::string &upstream) const;
 
 private:
+    struct Idle
+    {
+        std::deque<std::shared_ptr<HttpConnection>> connections; ///< Last used at the back.
+        int maximumConnections { 0 };
+    };
+
+    void closeOverShare(const std::string &upstream, Idle &idle) const;
+
     asio::io_context &m_context;
     const Clock &m_clock;
-    std::map<std::string, std::vector<std::shared_ptr<HttpConnection>>> m_idle;
-    std::uint64_t m_opened { 0 };
+    const LoadLedger &m_ledger;
+    std::size_t m_gateways { 1 };
+    std::map<std::string, Idle> m_idle;
 };
 
+/// How many idle connections one of `gateways` may keep at an upstream with `open` requests.
+std::size_t idleConnectionShare(int maximumConnections, std::size_t open, std::size_t gateways);
+
 } // namespace Lavenderpick
--- a/Tests/LibForward/TestPlacementQueue.cpp
+++ b/Tests/LibForward/TestPlacementQueue.cpp
@@ -19,9 +19,8 @@
     queue.add(2, start + Seconds(1));
     queue.add(3, start + Seconds(2));
     BOOST_CHECK((queue.inOrder() == std::vector<std::uint64_t> { 2, 3, 1 }));
-    BOOST_CHECK(queue.hasEarlier(start + Seconds(2)));
     queue.remove(2);
-    BOOST_CHECK(!queue.hasEarlier(start + Seconds(2)));
+    BOOST_CHECK((queue.inOrder() == std::vector<std::uint64_t> { 3, 1 }));
     BOOST_CHECK_EQUAL(queue.size(), 2);
 }
 
--- a/Tests/LibForward/TestPlacer.cpp
+++ b/Tests/LibForward/TestPlacer.cpp
@@ -23,7 +23,6 @@
     .stepMsPerContextThousand = 0.00285,
     .readTokensPerMs = 177,
     .readMsPerMillionPairs = 0.184,
-    .hopMs = 0.05,
 };
 
 /// A kind of request on the users' sheets.
--- a/Tests/ServiceGateway/GatewayFixture.h
+++ b/Tests/ServiceGateway/GatewayFixture.h
@@ -16,6 +16,7 @@
 public:
     const HeaderNames &names() const override { return m_names; }
     std::optional<GenerationSize> generationSize(const HeaderList &headers) const override;
+    std::string formatUrgency(int priority) const override { return std::to_string(priority); }
     std::string formatHelpers(const std::vector<HelperPart> &helpers) const override;
     bool provesNotRun(const ResponseHead &response) const override
     {
@@ -39,7 +40,9 @@
         .signature = "Proof",
         .helpers = "Helpers",
         .lastEventId = "Last-Event-Id",
-        .reserved = { "Key", "Customer", "Time-Left-Ms", "Expected-Upstream", "Helpers" },
+        .urgency = "Urgency",
+        .reserved = { "Key", "Customer", "Time-Left-Ms", "Expected-Upstream", "Helpers",
+                      "Urgency" },
     };
 };
 
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -222,6 +222,64 @@
     BOOST_CHECK_EQUAL(first.received().size() + second.received().size(), 1);
 }
 
+// The end of the connection is all that tells a caller of HTTP/1.0 that a response is whole.
+BOOST_AUTO_TEST_CASE(aCutResponseToAnOldCallerEndsWithAReset)
+{
+    addUpstream(
+            "u1",
+            [](const ReceivedRequest &request, const Peer &peer) {
+                peer->write(streamHead(request) + chunk(event(1)));
+                peer->closeAfterOutput();
+            },
+            "engines");
+    const auto socket = connect();
+    asio::write(*socket,
+                asio::buffer(std::string("POST /fixed-stream/ HTTP/1.0\r\nHost: h\r\nKey: k\r\n"
+                                         "Request-Id: r1\r\nContent-Length: 0\r\n\r\n")));
+    asio::error_code error;
+    runUntil([&] {
+        std::array<char, 4'096> buffer {};
+        socket->read_some(asio::buffer(buffer), error);
+        return error && error != asio::error::would_block;
+    });
+    BOOST_CHECK_EQUAL(error, asio::error::connection_reset);
+}
+
+BOOST_AUTO_TEST_CASE(enginesHearHowUrgentARequestIs)
+{
+    ServingConfigurationParts parts = configuration();
+    for (Route &route : parts.routes)
+        route.priority = 3;
+    parts.customers->push_back({ .name = "customer-2", .keys = { "k2" }, .priority = 1 });
+    state.configuration = std::make_shared<ServingConfiguration>(parts);
+    const auto &upstream = addUpstream("u1", answering("x"), "engines");
+    get("/stream/", "r1", "Tokens: 100,10\r\nUrgency: 0\r\n", "x");
+    BOOST_REQUIRE_EQUAL(upstream.received().size(), 1);
+    BOOST_CHECK_EQUAL(upstream.received().back().header("Urgency"), "3");
+    const auto socket = connect();
+    asio::write(*socket,
+                asio::buffer(std::string("POST /stream/ HTTP/1.1\r\nHost: h\r\nKey: k2\r\n"
+                                         "Request-Id: r2\r\nTokens: 100,10\r\n"
+                                         "Content-Length: 0\r\n\r\n")));
+    runUntil([&] { return upstream.received().size() == 2; });
+    BOOST_CHECK_EQUAL(upstream.received().back().header("Urgency"), "1");
+}
+
+BOOST_AUTO_TEST_CASE(anUpstreamWithoutFreeConnectionsGetsNothing)
+{
+    ServingConfigurationParts parts = configuration();
+    parts.services.front().maximumConnections = 2;
+    state.configuration = std::make_shared<ServingConfiguration>(parts);
+    const auto &upstream = addUpstream("u1", staySilent);
+    const auto first = send("/safe/", "r1");
+    const auto second = send("/safe/", "r2");
+    runUntil([&] { return upstream.received().size() == 2; });
+    const auto third = get("/safe/", "r3");
+    BOOST_CHECK_EQUAL(third->status, 503);
+    BOOST_CHECK(!third->header("Retry-After").empty());
+    BOOST_CHECK_EQUAL(upstream.received().size(), 2);
+}
+
 BOOST_AUTO_TEST_CASE(repeatsEndWithTheBudget)
 {
     state.retries = RetryWindow({ .ratio = 0, .slack = 0, .window = Seconds(10) });
--- a/include/lavenderpick/Forward/PlacementQueue.h
+++ b/include/lavenderpick/Forward/PlacementQueue.h
@@ -25,9 +25,6 @@
     /// All that wait, in order.
     std::vector<std::uint64_t> inOrder() const;
 
-    /// Whether another request has to be placed earlier than one with this latest start.
-    bool hasEarlier(TimePoint latestStart) const;
-
     bool isEmpty() const { return m_waiting.empty(); }
     std::size_t size() const { return m_waiting.size(); }
 
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -20,6 +20,16 @@
     Duration gapObjective {};
     std::string availabilityZone;   ///< Of this gateway.
     std::set<std::string> excluded; ///< Upstreams that failed this request already.
+    /// Requests that an upstream takes from all gateways; each needs a connection. Zero: no bound.
+    int maximumOpen { 0 };
+
+    /// Whether the upstream may get this request.
+    bool allows(const UpstreamRecord &record, const LoadLedger &ledger) const
+    {
+        return !excluded.contains(record.id)
+                && (maximumOpen == 0
+                    || static_cast<int>(ledger.load(record.id).open().size()) < maximumOpen);
+    }
 };
 
 /// Memory of a prompt that does not fit at the upstream that answers.
--- a/include/lavenderpick/Forward/RequestDialect.h
+++ b/include/lavenderpick/Forward/RequestDialect.h
@@ -20,6 +20,7 @@
     std::string signature;        ///< From upstreams, on whole responses that ran.
     std::string helpers;          ///< To engines: who reads parts of the prompt.
     std::string lastEventId;      ///< Where a stream goes on.
+    std::string urgency;          ///< To engines: the more urgent are admitted first.
     /// Set by the gateway alone, so that a caller's fields of these names are dropped.
     std::vector<std::string> reserved;
 
@@ -56,6 +57,9 @@
     /// The tokens that a request announces; empty when it names none that can be read.
     virtual std::optional<GenerationSize> generationSize(const HeaderList &headers) const = 0;
 
+    /// How urgent a request of this priority (0 is served first) is to engines.
+    virtual std::string formatUrgency(int priority) const = 0;
+
     virtual std::string formatHelpers(const std::vector<HelperPart> &helpers) const = 0;
 
     /// Whether the response proves that the request did not run and will not.
--- a/include/lavenderpick/Forward/ServingConfiguration.h
+++ b/include/lavenderpick/Forward/ServingConfiguration.h
@@ -61,7 +61,6 @@
     double stepMsPerContextThousand { 0 }; ///< Per writer and 1,000 tokens of its context.
     double readTokensPerMs { 1 };
     double readMsPerMillionPairs { 0 }; ///< Pairs of a prompt token and one before it.
-    double hopMs { 0 };                 ///< Added to a step that spans several engines.
 
     bool operator==(const EngineParameters &) const = default;
 };
@@ -69,7 +68,6 @@
 struct ServiceProfile
 {
     std::string name;
-    std::string healthPath;
     int maximumConnections { 0 }; ///< At one upstream, from all gateways together.
     std::optional<EngineParameters> engine {};
 
