Exchange: Move what may be repeated and how responses are written to classes of their own

AttemptHistory decides without a network what a request may still try; ResponseWriter frames the response for its caller.

--- /dev/null
+++ b/Libraries/LibForward/AttemptHistory.cpp
@@ -0,0 +1,34 @@
+#include "lavenderpick/Forward/AttemptHistory.h"
+
+namespace Lavenderpick {
+
+void AttemptHistory::record(const std::string &upstream, AttemptOutcome outcome)
+{
+    m_failed.insert(upstream);
+    if (outcome == AttemptOutcome::NotSent)
+        ++m_connectFailures;
+    else
+        ++m_sends;
+    if (outcome == AttemptOutcome::Failed)
+        ++m_possibleRuns;
+}
+
+bool AttemptHistory::mayRepeat(const Route &route, AttemptOutcome last, bool responseBegun) const
+{
+    if (m_connectFailures >= maximumConnectFailures || m_sends >= maximumSends)
+        return false;
+    // Only a stream can go on behind what the caller has; another response would start anew.
+    if (responseBegun && route.kind != RouteKind::Streaming)
+        return false;
+    if (last != AttemptOutcome::Failed)
+        return m_possibleRuns == 0 || route.isIdempotent();
+    return route.isIdempotent() && m_possibleRuns < route.maximumUpstreams;
+}
+
+bool AttemptHistory::mayRepeatOpenAttempt(const Route &route, bool responseBegun) const
+{
+    return m_possibleRuns + 1 < route.maximumUpstreams
+            && mayRepeat(route, AttemptOutcome::Failed, responseBegun);
+}
+
+} // namespace Lavenderpick
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -16,9 +16,6 @@
 // Within a zone a connection takes about 1 ms, between zones 3 ms; a lost opening packet is sent
 // again after a second, so another upstream is faster.
 constexpr Duration connectTimeout { Milliseconds(400) };
-// A request leaves this process at most this often, also where every upstream refuses it.
-constexpr int maximumSends = 3;
-constexpr int maximumConnectFailures = 4;
 // Responses up to this size are held until they are whole, so that a cut one can be repeated.
 constexpr std::size_t maximumBufferedResponse = 65'536;
 // Output that may wait for a slow caller before its upstream is stopped.
@@ -67,6 +64,7 @@
     , m_head(std::move(head))
     , m_arrived(state.clock.now())
     , m_configuration(state.configuration)
+    , m_writer(caller, m_head)
 {
     if (!body.empty())
         m_body = std::make_shared<const std::string>(std::move(body));
@@ -161,7 +159,7 @@
         .patienceLeft = patience,
         .gapObjective = isStream() ? m_route->gapObjective : Duration {},
         .availabilityZone = m_state.settings.availabilityZone,
-        .excluded = m_excluded,
+        .excluded = m_history.failed(),
         .maximumOpen = m_state.maximumConnections(m_service),
     };
 }
@@ -216,7 +214,7 @@
         return;
     }
     // A late release of an earlier attempt must not end this one's reservation.
-    const int attempt = m_sends + m_connectFailures;
+    const int attempt = m_history.attempts();
     m_reserver =
             std::make_shared<MemoryReserver>(m_state, m_requestId + "-" + std::to_string(attempt));
     m_reserver->reserve(m_decision.reservations, [weak = weak_from_this()](bool reserved) {
@@ -267,12 +265,12 @@
 
 void Exchange::refuseUnplaced()
 {
-    if (m_possibleRuns > 0 || m_headSent)
+    if (!m_history.hasNotRun() || m_writer.hasBegun())
         failRequest("no_upstream");
     else if (m_decision.retryAfter)
         refuse(503, RefusalReason::QueueFull, "No upstream can answer in time.",
                m_decision.retryAfter);
-    else if (m_excluded.size() < m_state.upstreams.ready(m_service).size())
+    else if (m_history.failed().size() < m_state.upstreams.ready(m_service).size())
         refuse(503, RefusalReason::QueueFull, "No upstream takes another connection.",
                defaultRetryAfter);
     else
@@ -352,7 +350,7 @@
 {
     m_attemptHead = head;
     // A resumed stream keeps the head of its first upstream.
-    if (!m_headSent)
+    if (!m_writer.hasBegun())
         m_response = head;
     const HeaderNames &names = m_state.dialect.names();
     const bool proved = head.headers.find(names.signature) != nullptr
@@ -375,7 +373,7 @@
         forwardEvents(bytes);
         return;
     }
-    if (m_headSent) {
+    if (m_writer.hasBegun()) {
         writeBody(bytes);
         return;
     }
@@ -422,35 +420,12 @@
 
 void Exchange::beginResponse()
 {
-    if (m_headSent)
-        return;
-    m_headSent = true;
-    m_callerFraming = m_response.framing;
-    if (isStream() || m_callerFraming == BodyFraming::UntilClose)
-        m_callerFraming = m_head.understandsChunks ? BodyFraming::Chunked : BodyFraming::UntilClose;
-    std::string head = "HTTP/1.1 " + std::to_string(m_response.status) + " "
-            + (m_response.reason.empty() ? std::string(reasonPhrase(m_response.status))
-                                         : m_response.reason)
-            + "\r\n";
-    appendEndToEndHeaders(m_response.headers, head);
-    appendFraming(m_callerFraming, m_response.contentLength, head);
-    if (!m_head.keepAlive || m_state.stop.isStopping()
-        || m_callerFraming == BodyFraming::UntilClose)
-        appendField("Connection", "close", head);
-    head += "\r\n";
-    m_caller.writeResponse(head);
+    m_writer.begin(m_response, isStream(), closesConnection());
 }
 
 void Exchange::writeBody(std::string_view bytes)
 {
-    if (m_callerFraming == BodyFraming::Chunked) {
-        std::string chunk;
-        chunk.reserve(bytes.size() + 16);
-        appendChunk(bytes, chunk);
-        m_caller.writeResponse(chunk);
-    } else if (!bytes.empty()) {
-        m_caller.writeResponse(bytes);
-    }
+    m_writer.writeBody(bytes);
     if (m_connection && m_caller.pendingResponse() > maximumPendingResponse)
         m_connection->pauseReading();
 }
@@ -487,8 +462,7 @@
     }
     writeBody(m_buffer);
     m_buffer.clear();
-    if (m_callerFraming == BodyFraming::Chunked)
-        m_caller.writeResponse(lastChunk);
+    m_writer.writeEnd();
     finish(m_response.status);
 }
 
@@ -503,37 +477,24 @@
         return;
     }
     m_state.outliers.recordFailure(m_decision.upstream, m_state.clock.now());
-    if (m_headSent || shouldRepeatFailure()) {
+    // The last failure is forwarded as it came.
+    if (m_writer.hasBegun() || (m_attemptHead.status >= 500 && mayRepeatOpenAttempt())) {
         attemptEnded(AttemptOutcome::Failed, "status_" + std::to_string(m_attemptHead.status));
         return;
     }
     forwardBufferedFailure();
 }
 
-bool Exchange::shouldRepeatFailure() const
+bool Exchange::mayRepeatOpenAttempt() const
 {
-    // The run that this response tells of is not counted yet.
-    return m_attemptHead.status >= 500 && m_possibleRuns + 1 < m_route->maximumUpstreams
-            && mayRepeat(AttemptOutcome::Failed);
+    return remaining() >= minimumTimeToSend
+            && m_history.mayRepeatOpenAttempt(*m_route, m_writer.hasBegun());
 }
 
 void Exchange::forwardBufferedFailure()
 {
     endAttempt();
-    m_response.framing =
-            m_response.framing == BodyFraming::None ? BodyFraming::None : BodyFraming::Length;
-    m_response.contentLength = m_buffer.size();
-    m_headSent = true;
-    std::string response =
-            "HTTP/1.1 " + std::to_string(m_response.status) + " " + m_response.reason + "\r\n";
-    appendEndToEndHeaders(m_response.headers, response);
-    appendFraming(BodyFraming::Length, m_buffer.size(), response);
-    if (!m_head.keepAlive || m_state.stop.isStopping())
-        appendField("Connection", "close", response);
-    response += "\r\n";
-    if (m_head.method != "HEAD")
-        response += m_buffer;
-    m_caller.writeResponse(response);
+    m_writer.writeWhole(m_response, m_buffer, closesConnection());
     finish(m_response.status);
 }
 
@@ -568,32 +529,14 @@
     logAttempt("attempt failed", cause);
     endAttempt();
     m_events.dropPartial();
-    m_excluded.insert(m_decision.upstream);
-    if (outcome == AttemptOutcome::NotSent)
-        ++m_connectFailures;
-    else
-        ++m_sends;
-    if (outcome == AttemptOutcome::Failed)
-        ++m_possibleRuns;
-    if (mayRepeat(outcome))
+    m_history.record(m_decision.upstream, outcome);
+    if (remaining() >= minimumTimeToSend
+        && m_history.mayRepeat(*m_route, outcome, m_writer.hasBegun()))
         repeat(outcome, cause);
     else
         failRequest(cause);
 }
 
-bool Exchange::mayRepeat(AttemptOutcome outcome) const
-{
-    if (remaining() < minimumTimeToSend || m_connectFailures >= maximumConnectFailures
-        || m_sends >= maximumSends)
-        return false;
-    // Only a stream can go on behind what the caller has; another response would start anew.
-    if (m_headSent && !isStream())
-        return false;
-    if (outcome != AttemptOutcome::Failed)
-        return m_possibleRuns == 0 || m_route->isIdempotent();
-    return m_route->isIdempotent() && m_possibleRuns < m_route->maximumUpstreams;
-}
-
 void Exchange::repeat(AttemptOutcome outcome, const std::string &cause)
 {
     if (outcome != AttemptOutcome::NotSent
@@ -608,11 +551,11 @@
 
 void Exchange::failRequest(const std::string &cause)
 {
-    if (m_headSent) {
+    if (m_writer.hasBegun()) {
         abortResponse(cause);
         return;
     }
-    if (m_possibleRuns == 0) {
+    if (m_history.hasNotRun()) {
         refuse(503, RefusalReason::NoUpstream, "The request did not run: " + cause + ".",
                defaultRetryAfter);
         return;
@@ -637,16 +580,15 @@
           { "upstreams", m_state.upstreams.ready(m_service).size() },
           { "configuration", m_configuration ? m_configuration->version() : 0 },
           { "elapsed_ms", roundedMs(m_state.clock.now() - m_arrived) } });
-    m_headSent = true;
     const ProblemAnswer answer { .status = status,
                                  .reason = reason,
                                  .message = message,
-                                 .ran = m_possibleRuns == 0 ? Ran::No : Ran::Unknown,
+                                 .ran = m_history.hasNotRun() ? Ran::No : Ran::Unknown,
                                  .requestId = m_requestId,
                                  .retryAfter = retryAfter,
-                                 .closesConnection = !m_head.keepAlive || m_state.stop.isStopping(),
+                                 .closesConnection = closesConnection(),
                                  .toHeadRequest = m_head.method == "HEAD" };
-    m_caller.writeResponse(answer.toResponse(m_state.dialect.names()));
+    m_writer.writeOwn(answer.toResponse(m_state.dialect.names()));
     finish(status);
 }
 
@@ -657,7 +599,7 @@
     m_done = true;
     m_state.metrics.increment("lavenderpick_aborted_responses_total", "cause=\"" + cause + "\"");
     logAttempt("response cut", cause);
-    m_caller.abortResponse(m_callerFraming);
+    m_caller.abortResponse(m_writer.framing());
 }
 
 void Exchange::finish(int status)
@@ -675,9 +617,7 @@
           { "longest_gap_ms", roundedMs(m_longestGap) },
           { "events", m_events.eventCount() },
           { "elapsed_ms", roundedMs(m_state.clock.now() - m_arrived) } });
-    const bool keepAlive = m_head.keepAlive && !m_state.stop.isStopping()
-            && m_callerFraming != BodyFraming::UntilClose;
-    m_caller.finishResponse(keepAlive);
+    m_caller.finishResponse(!closesConnection() && m_writer.framing() != BodyFraming::UntilClose);
 }
 
 void Exchange::cancel()
@@ -704,7 +644,7 @@
         m_reserver->checkTimeouts(now);
     if (now >= m_deadline && m_route != nullptr) {
         if (m_connection && m_connection->wasConnected())
-            ++m_possibleRuns;
+            m_history.recordAbandoned();
         if (m_connection)
             m_connection->abandon();
         m_connection.reset();
@@ -719,8 +659,8 @@
 
 Duration Exchange::allowedSilence() const
 {
-    const bool repeatable = m_route != nullptr && m_route->kind == RouteKind::Safe
-            && m_possibleRuns + 1 < m_route->maximumUpstreams && mayRepeat(AttemptOutcome::Failed);
+    const bool repeatable =
+            m_route != nullptr && m_route->kind == RouteKind::Safe && mayRepeatOpenAttempt();
     return repeatable ? silentObjectives * m_route->objective : Duration {};
 }
 
@@ -729,7 +669,7 @@
     nlohmann::json fields { { "request_id", m_requestId },
                             { "route", m_route->name },
                             { "upstream", m_decision.upstream },
-                            { "sends", m_sends },
+                            { "sends", m_history.sends() },
                             { "configuration", m_configuration->version() },
                             { "directory", m_state.upstreams.generation() },
                             { "elapsed_ms", roundedMs(m_state.clock.now() - m_arrived) } };
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -3,11 +3,12 @@
 #include "Services/Gateway/CallerStream.h"
 #include "Services/Gateway/GatewayState.h"
 #include "Services/Gateway/MemoryReserver.h"
+#include "Services/Gateway/ResponseWriter.h"
+#include "lavenderpick/Forward/AttemptHistory.h"
 #include "lavenderpick/Forward/EventSplitter.h"
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace Lavenderpick {
@@ -37,14 +38,6 @@
     void checkTimeouts(TimePoint now);
 
 private:
-    /// What became of the request at one upstream.
-    enum class AttemptOutcome {
-        NotSent,       ///< No byte of it left this process.
-        NotRun,        ///< The upstream proved that it did not run.
-        OtherUpstream, ///< Not run, because another process has the address now.
-        Failed,        ///< It may have run.
-    };
-
     bool findRoute();
     void readDeadline();
     void dispatch();
@@ -74,9 +67,8 @@
     void writeBody(std::string_view bytes);
     void finishForwarding();
     void handleUpstreamRefusal();
-    bool shouldRepeatFailure() const;
+    bool mayRepeatOpenAttempt() const;
     void attemptEnded(AttemptOutcome outcome, const std::string &cause);
-    bool mayRepeat(AttemptOutcome outcome) const;
     void repeat(AttemptOutcome outcome, const std::string &cause);
     void endAttempt();
     Duration allowedSilence() const;
@@ -90,6 +82,7 @@
     void logAttempt(std::string_view message, const std::string &cause) const;
 
     Duration remaining() const { return m_deadline - m_state.clock.now(); }
+    bool closesConnection() const { return !m_head.keepAlive || m_state.stop.isStopping(); }
     bool isStream() const { return m_route != nullptr && m_route->kind == RouteKind::Streaming; }
 
     GatewayState &m_state;
@@ -111,16 +104,12 @@
     std::shared_ptr<MemoryReserver> m_reserver;
     std::shared_ptr<HttpConnection> m_connection;
     TimePoint m_attemptStarted {};
-    std::set<std::string> m_excluded;
-    int m_sends { 0 };        ///< Times that the request left this process.
-    int m_possibleRuns { 0 }; ///< Sends that are not proved "not run".
-    int m_connectFailures { 0 };
+    AttemptHistory m_history;
 
     ResponseHead m_response;    ///< What the caller gets or got.
     ResponseHead m_attemptHead; ///< Of the upstream that answers now.
-    bool m_headSent { false };
+    ResponseWriter m_writer;
     bool m_firstByteSeen { false };
-    BodyFraming m_callerFraming { BodyFraming::None };
     std::string m_buffer; ///< Of a response that is not begun yet.
     EventSplitter m_events;
     Duration m_firstEventAfter {}; ///< From the arrival of the request.
