Exchange: Move streams that their engine lost, and never refuse within a response

Cause of the failures: engines that hang on some requests, or fall silent on some streams, while their connections and health checks are good; callers leave after two seconds. Silence alone proves nothing, as a long prompt may take an engine seconds. Such a stream goes on elsewhere, within the retry budget; without it the engine is left to answer.

Now only new requests are asked, and a refusal after the head ends the connection. The new test fails without both.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace Lavenderpick {
 
@@ -202,7 +203,8 @@
     }
     if (waitForBetterPlace())
         return;
-    if (!m_state.stop.mayTake(now, expectedDuration())) {
+    // What was taken before goes on, also at another upstream.
+    if (m_history.attempts() == 0 && !m_state.stop.mayTake(now, expectedDuration())) {
         refuse(503, RefusalReason::NotReady, "The gateway stops before the request could end.",
                restartTime);
         return;
@@ -289,6 +291,10 @@
     m_firstByteSeen = false;
     m_buffer.clear();
     m_connection = m_state.pool.take(record->id, record->address);
+    if (isStream()) {
+        m_stream = ++m_state.lastStream;
+        m_state.progress.sent(record->id, m_stream, m_decision.helpers.empty(), m_attemptStarted);
+    }
     logAttempt("sent", "");
     m_connection->send(upstreamHead(*record), m_body, m_head.method == "HEAD", *this);
 }
@@ -396,6 +402,7 @@
     if (events.empty())
         return;
     recordEventTimes();
+    m_state.progress.eventArrived(m_decision.upstream, m_stream, m_lastEventAt);
     if (!m_firstByteSeen) {
         m_firstByteSeen = true;
         if (m_placement)
@@ -510,6 +517,7 @@
 
 void Exchange::endAttempt()
 {
+    m_state.progress.ended(m_decision.upstream, m_stream);
     if (m_placement)
         m_state.endPlacement(*m_placement);
     m_placement.reset();
@@ -539,7 +547,8 @@
 
 void Exchange::repeat(AttemptOutcome outcome, const std::string &cause)
 {
-    if (outcome != AttemptOutcome::NotSent
+    const bool granted = std::exchange(m_repeatGranted, false);
+    if (outcome != AttemptOutcome::NotSent && !granted
         && !m_state.retries.tryRepeat(m_service, m_state.clock.now())) {
         m_state.metrics.increment("lavenderpick_repeats_denied_total");
         failRequest("retry_budget");
@@ -569,6 +578,11 @@
 void Exchange::refuse(int status, RefusalReason reason, const std::string &message,
                       std::optional<Duration> retryAfter)
 {
+    if (m_writer.hasBegun()) {
+        // A second head would be read as a part of the response.
+        abortResponse(std::string(toString(reason)));
+        return;
+    }
     m_state.metrics.countRefusal(reason);
     log(LogLevel::Info, "exchange", "refused",
         { { "request_id", m_requestId },
@@ -655,6 +669,20 @@
     }
     if (m_connection)
         m_connection->checkTimeouts(now, connectTimeout, allowedSilence());
+    leaveLostStream(now);
+}
+
+void Exchange::leaveLostStream(TimePoint now)
+{
+    if (m_done || !m_connection || !isStream()
+        || !m_state.progress.isLost(m_decision.upstream, m_stream, now))
+        return;
+    // Where it can't go on elsewhere, the silent engine is still the caller's best chance.
+    if (!mayRepeatOpenAttempt() || !m_state.retries.tryRepeat(m_service, now))
+        return;
+    m_repeatGranted = true;
+    m_state.outliers.recordFailure(m_decision.upstream, now);
+    attemptEnded(AttemptOutcome::Failed, "lost_stream");
 }
 
 Duration Exchange::allowedSilence() const
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -72,6 +72,7 @@
     void repeat(AttemptOutcome outcome, const std::string &cause);
     void endAttempt();
     Duration allowedSilence() const;
+    void leaveLostStream(TimePoint now);
     void forwardBufferedFailure();
 
     void refuse(int status, RefusalReason reason, const std::string &message,
@@ -101,6 +102,8 @@
     PlacementDecision m_decision;
     std::optional<std::uint64_t> m_waitingId;
     std::optional<PlacementKey> m_placement;
+    std::uint64_t m_stream { 0 };   ///< Of the open attempt, for `StreamProgress`.
+    bool m_repeatGranted { false }; ///< By the retry budget, for the open attempt.
     std::shared_ptr<MemoryReserver> m_reserver;
     std::shared_ptr<HttpConnection> m_connection;
     TimePoint m_attemptStarted {};
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -10,6 +10,7 @@
 #include "lavenderpick/Forward/RetryWindow.h"
 #include "lavenderpick/Forward/ServingSource.h"
 #include "lavenderpick/Forward/StopPlan.h"
+#include "lavenderpick/Forward/StreamProgress.h"
 #include "lavenderpick/Forward/UpstreamDirectory.h"
 #include "lavenderpick/Retry/OutlierDetector.h"
 
@@ -47,6 +48,7 @@
     Placer placer;
     RetryWindow retries;
     OutlierDetector outliers;
+    StreamProgress progress;
     StopPlan stop;
     UpstreamPool pool;
     WaitingRequests waiting;
@@ -54,6 +56,7 @@
     PlacementObserver *placementObserver { nullptr };
 
     std::uint64_t lastPlacement { 0 };
+    std::uint64_t lastStream { 0 };
     std::size_t openRequests { 0 };
     std::size_t bufferedBytes { 0 }; ///< Of request bodies in all connections.
     bool upstreamsKnown { false };   ///< A whole listing was read.
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -280,6 +280,84 @@
     BOOST_CHECK_EQUAL(upstream.received().size(), 2);
 }
 
+// The engine hangs on one request and serves the next.
+BOOST_AUTO_TEST_CASE(aStreamThatItsEngineLostGoesOnElsewhere)
+{
+    const auto hangsOnFirst = [](const ReceivedRequest &request, const Peer &peer) {
+        if (request.header("Request-Id") != "r1")
+            peer->write(streamHead(request) + chunk(event(1)));
+    };
+    const auto &first = addUpstream("u1", hangsOnFirst, "engines");
+    const auto hung = send("/stream/", "r1", "Tokens: 100\r\n");
+    runUntil([&] { return first.received().size() == 1; });
+    advance(Milliseconds(100));
+    const auto next = send("/stream/", "r2", "Tokens: 100\r\n");
+    runUntil([&] { return !next->body.empty(); });
+    const auto &second = addUpstream(
+            "u2",
+            [](const ReceivedRequest &request, const Peer &peer) {
+                peer->write(streamHead(request) + chunk(event(1)) + std::string(lastChunk));
+            },
+            "engines");
+    advance(Milliseconds(399));
+    BOOST_CHECK(second.received().empty());
+    advance(Milliseconds(1));
+    runUntil([&] { return hung->isDone(); });
+    BOOST_CHECK(hung->whole);
+    BOOST_CHECK_EQUAL(hung->body, event(1));
+    BOOST_REQUIRE_EQUAL(second.received().size(), 1);
+    BOOST_CHECK_EQUAL(second.received().front().header("Request-Id"), "r1");
+}
+
+// Guards against a refusal in the middle of a response.
+BOOST_AUTO_TEST_CASE(aStreamGoesOnElsewhereWhileTheGatewayStops)
+{
+    Peer broken;
+    addUpstream(
+            "u1",
+            [&broken](const ReceivedRequest &request, const Peer &peer) {
+                broken = peer;
+                peer->write(streamHead(request) + chunk(event(1)));
+            },
+            "engines");
+    state.stop.setGrace(Seconds(4));
+    state.stop.begin(clock.now());
+    clock.advance(Milliseconds(2'400));
+    const auto view = send("/stream/", "r1", "Tokens: 100\r\n");
+    runUntil([&] { return !view->body.empty(); });
+    clock.advance(Milliseconds(1'150));
+    addUpstream(
+            "u2",
+            [](const ReceivedRequest &request, const Peer &peer) {
+                peer->write(streamHead(request) + chunk(event(2)) + std::string(lastChunk));
+            },
+            "engines");
+    broken->close();
+    runUntil([&] { return view->isDone(); });
+    BOOST_CHECK(view->whole);
+    BOOST_CHECK_EQUAL(view->body, event(1) + event(2));
+}
+
+BOOST_AUTO_TEST_CASE(aLostStreamWithoutBudgetIsLeftToItsEngine)
+{
+    state.retries = RetryWindow({ .ratio = 0, .slack = 0, .window = Seconds(10) });
+    const auto &first = addUpstream(
+            "u1",
+            [](const ReceivedRequest &request, const Peer &peer) {
+                if (request.header("Request-Id") != "r1")
+                    peer->write(streamHead(request) + chunk(event(1)));
+            },
+            "engines");
+    const auto hung = send("/stream/", "r1", "Tokens: 100\r\n");
+    runUntil([&] { return first.received().size() == 1; });
+    advance(Milliseconds(100));
+    const auto next = send("/stream/", "r2", "Tokens: 100\r\n");
+    runUntil([&] { return !next->body.empty(); });
+    addUpstream("u2", answering("x"), "engines");
+    advance(Milliseconds(500));
+    BOOST_CHECK(!hung->isDone());
+}
+
 BOOST_AUTO_TEST_CASE(repeatsEndWithTheBudget)
 {
     state.retries = RetryWindow({ .ratio = 0, .slack = 0, .window = Seconds(10) });
