--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -186,17 +186,21 @@
     place();
 }
 
-void Exchange::place()
+PlacementDecision Exchange::choosePlace(const PlacementRequest &request) const
 {
     const ServiceProfile *profile = m_configuration->findService(m_service);
     const std::vector<const UpstreamRecord *> upstreams = usableUpstreams();
     const TimePoint now = m_state.clock.now();
-    const PlacementRequest request = placementRequest();
     if (profile != nullptr && profile->engine && m_size)
-        m_decision = m_state.placer.placeGeneration(request, *profile->engine, upstreams,
-                                                    m_state.ledger, now);
-    else
-        m_decision = m_state.placer.placeCall(request, upstreams, m_state.ledger, now);
+        return m_state.placer.placeGeneration(request, *profile->engine, upstreams, m_state.ledger,
+                                              now);
+    return m_state.placer.placeCall(request, upstreams, m_state.ledger, now);
+}
+
+void Exchange::place()
+{
+    const TimePoint now = m_state.clock.now();
+    m_decision = choosePlace(placementRequest());
     if (!m_decision.isPlaced()) {
         refuseUnplaced();
         return;
@@ -678,7 +682,10 @@
         || !m_state.progress.isLost(m_decision.upstream, m_stream, now))
         return;
     // Where it can't go on elsewhere, the silent engine is still the caller's best chance.
-    if (!mayRepeatOpenAttempt() || !m_state.retries.tryRepeat(m_service, now))
+    PlacementRequest elsewhere = placementRequest();
+    elsewhere.excluded.insert(m_decision.upstream);
+    if (!mayRepeatOpenAttempt() || !choosePlace(elsewhere).isPlaced()
+        || !m_state.retries.tryRepeat(m_service, now))
         return;
     m_repeatGranted = true;
     m_state.outliers.recordFailure(m_decision.upstream, now);
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -48,6 +48,7 @@
     void stopWaiting();
     void refuseUnplaced();
     void place();
+    PlacementDecision choosePlace(const PlacementRequest &request) const;
     int priority() const;
     PlacementRequest placementRequest() const;
     std::vector<const UpstreamRecord *> usableUpstreams() const;
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -358,6 +358,24 @@
     BOOST_CHECK(!hung->isDone());
 }
 
+BOOST_AUTO_TEST_CASE(aLostStreamWithoutAnotherPlaceIsLeftToItsEngine)
+{
+    const auto &first = addUpstream(
+            "u1",
+            [](const ReceivedRequest &request, const Peer &peer) {
+                if (request.header("Request-Id") != "r1")
+                    peer->write(streamHead(request) + chunk(event(1)));
+            },
+            "engines");
+    const auto hung = send("/stream/", "r1", "Tokens: 100\r\n");
+    runUntil([&] { return first.received().size() == 1; });
+    advance(Milliseconds(100));
+    const auto next = send("/stream/", "r2", "Tokens: 100\r\n");
+    runUntil([&] { return !next->body.empty(); });
+    advance(Milliseconds(500));
+    BOOST_CHECK(!hung->isDone());
+}
+
 BOOST_AUTO_TEST_CASE(repeatsEndWithTheBudget)
 {
     state.retries = RetryWindow({ .ratio = 0, .slack = 0, .window = Seconds(10) });
