Exchange: Count a running stream's patience from its last event

Cause: a stream that broke more than two seconds after its request had no place left anywhere, since the patience of its caller was counted from the request; the log names no_upstream (6 and 7 cut streams on connections-reset-and-silent). The test of a stream of five seconds fails without the change.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -147,16 +147,20 @@
 
 PlacementRequest Exchange::placementRequest() const
 {
+    const TimePoint now = m_state.clock.now();
+    // A stream that goes on elsewhere has its next event to keep in time, not its first.
+    const bool goesOn = m_lastEventAt != TimePoint {};
+    const Duration waited = now - (goesOn ? m_lastEventAt : m_arrived);
     Duration patience = remaining();
     if (isStream()) {
         const Duration silence =
                 std::max({ Duration(leastStreamPatience), objectivePatience * m_route->objective,
                            gapPatience * m_route->gapObjective });
-        patience = std::min(patience, silence - (m_state.clock.now() - m_arrived));
+        patience = std::min(patience, silence - waited);
     }
     return {
         .size = m_size.value_or(GenerationSize {}),
-        .objectiveLeft = m_route->objective - (m_state.clock.now() - m_arrived),
+        .objectiveLeft = (goesOn ? m_route->gapObjective : m_route->objective) - waited,
         .patienceLeft = patience,
         .gapObjective = isStream() ? m_route->gapObjective : Duration {},
         .availabilityZone = m_state.settings.availabilityZone,
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -280,6 +280,41 @@
     BOOST_CHECK_EQUAL(upstream.received().size(), 2);
 }
 
+// Callers wait two seconds for the next event, however long the stream has run.
+BOOST_AUTO_TEST_CASE(aLongStreamThatBreaksGoesOnElsewhere)
+{
+    Peer running;
+    addUpstream(
+            "u1",
+            [&running](const ReceivedRequest &request, const Peer &peer) {
+                running = peer;
+                peer->write(streamHead(request) + chunk(event(1)));
+            },
+            "engines");
+    ServingConfigurationParts parts = configuration();
+    for (Route &route : parts.routes)
+        route.timeout = Seconds(20);
+    state.configuration = std::make_shared<ServingConfiguration>(parts);
+    const auto view = send("/stream/", "r1", "Tokens: 100\r\n");
+    runUntil([&] { return !view->body.empty(); });
+    for (int id = 2; id <= 6; ++id) {
+        advance(Seconds(1));
+        running->write(chunk(event(id)));
+        runUntil([&] { return view->body.find(event(id)) != std::string::npos; });
+    }
+    addUpstream(
+            "u2",
+            [](const ReceivedRequest &request, const Peer &peer) {
+                BOOST_CHECK_EQUAL(request.header("Last-Event-Id"), "6");
+                peer->write(streamHead(request) + chunk(event(7)) + std::string(lastChunk));
+            },
+            "engines");
+    running->close();
+    runUntil([&] { return view->isDone(); });
+    BOOST_CHECK(view->whole);
+    BOOST_CHECK(view->body.ends_with(event(6) + event(7)));
+}
+
 // The engine hangs on one request and serves the next.
 BOOST_AUTO_TEST_CASE(aStreamThatItsEngineLostGoesOnElsewhere)
 {
