Operator: Explain a request from the logs of all processes

'lavenderpick explain --id ID FILE...' prints a request's lines in order of time, what its gateways and upstreams went through meanwhile, and what other work its upstreams got.

--- a/Services/Operator/CommandLine.cpp
+++ b/Services/Operator/CommandLine.cpp
@@ -42,6 +42,13 @@
                             fallback.empty() ? value : value->default_value(fallback));
 }
 
+void CommandLine::addRest(const std::string &name, const std::string &description)
+{
+    m_rest = name;
+    m_options.add_options()(name, description, cxxopts::value<std::vector<std::string>>());
+    m_options.positional_help("<" + name + ">...");
+}
+
 void CommandLine::addFlag(const std::string &name, const std::string &description)
 {
     m_options.add_options()(name, description);
@@ -49,7 +56,10 @@
 
 bool CommandLine::parse(int argc, char **argv)
 {
-    m_options.parse_positional(m_positional);
+    std::vector<std::string> withoutDash = m_positional;
+    if (!m_rest.empty())
+        withoutDash.push_back(m_rest);
+    m_options.parse_positional(withoutDash);
     m_result = m_options.parse(argc, argv);
     if (has("help")) {
         std::cout << m_options.help();
@@ -81,6 +91,13 @@
     return value;
 }
 
+std::vector<std::string> CommandLine::requiredRest(const std::string &name) const
+{
+    if (!has(name))
+        throw cxxopts::exceptions::parsing("'" + name + "' is missing");
+    return m_result[name].as<std::vector<std::string>>();
+}
+
 std::optional<std::int64_t> CommandLine::number(const std::string &name) const
 {
     const std::string value = text(name);
--- a/Services/Operator/CommandLine.h
+++ b/Services/Operator/CommandLine.h
@@ -22,6 +22,9 @@
     void addText(const std::string &name, const std::string &description,
                  const std::string &fallback = {});
 
+    /// Adds an option that takes all arguments without a dash that are left.
+    void addRest(const std::string &name, const std::string &description);
+
     void addFlag(const std::string &name, const std::string &description);
 
     /// Parses `argv[1]` and what follows. Returns false after `--help`, whose text is then printed.
@@ -34,6 +37,9 @@
     /// Throws like `parse` when the option is missing.
     std::string requiredText(const std::string &name) const;
 
+    /// The arguments of `addRest`. Throws like `parse` when there are none.
+    std::vector<std::string> requiredRest(const std::string &name) const;
+
     /// The number of an option from 0, or nothing when it is missing; throws like `parse`.
     std::optional<std::int64_t> number(const std::string &name) const;
 
@@ -45,6 +51,7 @@
 private:
     cxxopts::Options m_options;
     std::vector<std::string> m_positional;
+    std::string m_rest; ///< The option that takes what is left, or empty.
     cxxopts::ParseResult m_result;
 };
 
--- a/Services/Operator/OperatorCommand.cpp
+++ b/Services/Operator/OperatorCommand.cpp
@@ -1,6 +1,7 @@
 #include "Services/Operator/OperatorCommand.h"
 
 #include "Services/Operator/DocumentCommand.h"
+#include "Services/Operator/ExplainCommand.h"
 #include "Services/Operator/StatusCommand.h"
 #include "Services/Operator/UpstreamCommand.h"
 #include "lavenderpick/Base/Log.h"
@@ -39,6 +40,8 @@
         return runDocumentCommand(argc, argv);
     if (name == "upstream")
         return runUpstreamCommand(argc, argv);
+    if (name == "explain")
+        return runExplainCommand(argc, argv);
     return runStatusCommand(argc, argv);
 }
 
--- a/Utilities/lavenderpick/main.cpp
+++ b/Utilities/lavenderpick/main.cpp
@@ -30,6 +30,8 @@
                  "list upstreams; plan, move or cancel a stop" },
     Subcommand { "status", Lavenderpick::runOperatorCommand,
                  "show the state of a running process" },
+    Subcommand { "explain", Lavenderpick::runOperatorCommand,
+                 "tell a request's story from the logs of all processes" },
     Subcommand { "load", Lavenderpick::runLoadCommand, "run a load experiment and report it" },
 };
 
