Placer: Measure lateness by the whole objective

A prompt that has waited has little of its objective left, and by that measure all choices looked ten times too late, so that the fewest parts won.

--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -53,9 +53,11 @@
 {
     // A caller that leaves before its answer gets nothing, and its work is lost.
     constexpr double abandonedShare = 1'000;
-    const double objectiveMs = std::max(1.0, inMilliseconds(request.objectiveLeft));
+    // Measured by the whole objective: what is left may be so short that all choices look alike.
+    const double objectiveMs = std::max(1.0, inMilliseconds(request.objective));
     const double weight = generationWeight(request.size);
-    const double ratio = firstMs / objectiveMs;
+    const double ratio =
+            std::max(0.0, 1 + (firstMs - inMilliseconds(request.objectiveLeft)) / objectiveMs);
     if (firstMs > inMilliseconds(request.patienceLeft))
         return weight * abandonedShare * ratio;
     if (ratio > 1)
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -160,6 +160,7 @@
     }
     return {
         .size = m_size.value_or(GenerationSize {}),
+        .objective = goesOn ? m_route->gapObjective : m_route->objective,
         .objectiveLeft = (goesOn ? m_route->gapObjective : m_route->objective) - waited,
         .patienceLeft = patience,
         .gapObjective = isStream() ? m_route->gapObjective : Duration {},
--- a/Tests/LibForward/TestPlacer.cpp
+++ b/Tests/LibForward/TestPlacer.cpp
@@ -143,6 +143,7 @@
             const double waitedMs = now - played.arrivedMs;
             decision = m_placer.placeGeneration(
                     { .size = played.size,
+                      .objective = fromMilliseconds(kind.objectiveMs),
                       .objectiveLeft = fromMilliseconds(kind.objectiveMs - waitedMs),
                       .patienceLeft = fromMilliseconds(10'000 - waitedMs),
                       .gapObjective = fromMilliseconds(kind.gapMs),
@@ -197,6 +198,7 @@
     PlacementRequest request(const Kind &kind) const
     {
         return { .size = { kind.promptTokens, kind.outputTokens },
+                 .objective = fromMilliseconds(kind.objectiveMs),
                  .objectiveLeft = fromMilliseconds(kind.objectiveMs),
                  .patienceLeft = Seconds(10),
                  .gapObjective = fromMilliseconds(kind.gapMs),
@@ -304,6 +306,21 @@
     BOOST_CHECK(!placer.placeGeneration(huge, engine, upstreams, ledger, start).isPlaced());
 }
 
+// Guards against giving up on a long prompt that can't be on time: its caller still waits.
+BOOST_AUTO_TEST_CASE(aLatePromptIsStillReadFast)
+{
+    PlacementRequest late = request(archive);
+    const PlacementDecision inTime = placer.placeGeneration(late, engine, upstreams, ledger, start);
+    late.objectiveLeft = Milliseconds(50);
+    const PlacementDecision decision =
+            placer.placeGeneration(late, engine, upstreams, ledger, start);
+    BOOST_CHECK_EQUAL(decision.helpers.size(), 3);
+    BOOST_CHECK_LE(decision.predictedFirstMs, inTime.predictedFirstMs + 1);
+    late.objectiveLeft = -Seconds(2);
+    BOOST_CHECK_EQUAL(placer.placeGeneration(late, engine, upstreams, ledger, start).helpers.size(),
+                      3);
+}
+
 BOOST_AUTO_TEST_CASE(excludedUpstreamsAreNotChosen)
 {
     PlacementRequest again = request(reply);
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -15,7 +15,8 @@
 struct PlacementRequest
 {
     GenerationSize size {};    ///< Zero for services without engines.
-    Duration objectiveLeft {}; ///< Until the first event is due.
+    Duration objective {};     ///< From the arrival to the first event.
+    Duration objectiveLeft {}; ///< Until the first event is due; negative when it is late.
     Duration patienceLeft {};  ///< Until the caller gives up or the deadline passes.
     Duration gapObjective {};
     std::string availabilityZone;   ///< Of this gateway.
