Gateway: Place among a subset of the upstreams where there are thousands

Cause: a placement weighed all upstreams and sorted them for each number of parts: 2.0 ms for a short prompt and 8.9 ms for a long one at 4,800 upstreams, and all gateways gathered at the same few. Each gateway now draws 64 by a hash, three quarters from its own zone; the others serve where none of the 64 can.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -170,16 +170,16 @@
     };
 }
 
-std::vector<const UpstreamRecord *> Exchange::usableUpstreams() const
+std::vector<const UpstreamRecord *>
+Exchange::withoutOutliers(const std::vector<const UpstreamRecord *> &upstreams) const
 {
-    const std::vector<const UpstreamRecord *> &ready = m_state.upstreams.ready(m_service);
     std::vector<const UpstreamRecord *> usable;
-    usable.reserve(ready.size());
-    for (const UpstreamRecord *record : ready) {
+    usable.reserve(upstreams.size());
+    for (const UpstreamRecord *record : upstreams) {
         if (!m_state.outliers.isEjected(record->id, m_state.clock.now()))
             usable.push_back(record);
     }
-    return usable.empty() ? ready : usable;
+    return usable.empty() ? upstreams : usable;
 }
 
 void Exchange::dispatch()
@@ -192,14 +192,25 @@
 }
 
 PlacementDecision Exchange::choosePlace(const PlacementRequest &request) const
+{
+    const auto &subset = m_state.subset.of(m_state.upstreams, m_service);
+    PlacementDecision decision = choosePlaceAmong(subset, request);
+    const auto &all = m_state.upstreams.ready(m_service);
+    if (!decision.isPlaced() && subset.size() < all.size())
+        decision = choosePlaceAmong(all, request);
+    return decision;
+}
+
+PlacementDecision Exchange::choosePlaceAmong(const std::vector<const UpstreamRecord *> &upstreams,
+                                             const PlacementRequest &request) const
 {
     const ServiceProfile *profile = m_configuration->findService(m_service);
-    const std::vector<const UpstreamRecord *> upstreams = usableUpstreams();
+    const std::vector<const UpstreamRecord *> usable = withoutOutliers(upstreams);
     const TimePoint now = m_state.clock.now();
     if (profile != nullptr && profile->engine && m_size)
-        return m_state.placer.placeGeneration(request, *profile->engine, upstreams, m_state.ledger,
+        return m_state.placer.placeGeneration(request, *profile->engine, usable, m_state.ledger,
                                               now);
-    return m_state.placer.placeCall(request, upstreams, m_state.ledger, now);
+    return m_state.placer.placeCall(request, usable, m_state.ledger, now);
 }
 
 void Exchange::place()
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -49,9 +49,12 @@
     void refuseUnplaced();
     void place();
     PlacementDecision choosePlace(const PlacementRequest &request) const;
+    PlacementDecision choosePlaceAmong(const std::vector<const UpstreamRecord *> &upstreams,
+                                       const PlacementRequest &request) const;
     int priority() const;
     PlacementRequest placementRequest() const;
-    std::vector<const UpstreamRecord *> usableUpstreams() const;
+    std::vector<const UpstreamRecord *>
+    withoutOutliers(const std::vector<const UpstreamRecord *> &upstreams) const;
     void sendAttempt();
     std::string upstreamHead(const UpstreamRecord &record) const;
     std::string helperList() const;
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -26,6 +26,7 @@
     , random(randomToUse)
     , dialect(dialectToUse)
     , settings(std::move(settingsToUse))
+    , subset(settings.name, settings.availabilityZone)
     , placer(PlacerSettings {}, randomToUse)
     , retries(settings.retries)
     , outliers(outlierSettings())
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -12,6 +12,7 @@
 #include "lavenderpick/Forward/StopPlan.h"
 #include "lavenderpick/Forward/StreamProgress.h"
 #include "lavenderpick/Forward/UpstreamDirectory.h"
+#include "lavenderpick/Forward/UpstreamSubset.h"
 #include "lavenderpick/Retry/OutlierDetector.h"
 
 #include <memory>
@@ -44,6 +45,7 @@
     std::shared_ptr<const ServingConfiguration> configuration; ///< Null until one was read.
     std::int64_t configurationRevision { 0 };
     UpstreamDirectory upstreams;
+    UpstreamSubset subset;
     LoadLedger ledger;
     Placer placer;
     RetryWindow retries;
--- /dev/null
+++ b/Tests/Benchmarks/PlacerBenchmark.cpp
@@ -0,0 +1,89 @@
+#include "lavenderpick/Forward/Placer.h"
+#include "lavenderpick/Forward/UpstreamSubset.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace Lavenderpick;
+
+namespace {
+
+const TimePoint start { Seconds(1'000) };
+// Published by the users' larger service.
+const EngineParameters engine { .batch = 16,
+                                .memoryTokens = 315'000,
+                                .strideTokens = 51,
+                                .chunkTokens = 2'048,
+                                .stepMs = 0.85,
+                                .stepMsPerWriter = 0.00425,
+                                .stepMsPerContextThousand = 0.00285,
+                                .readTokensPerMs = 177,
+                                .readMsPerMillionPairs = 0.184 };
+
+/// Placement at a gateway that knows `count` engines, each with 6 open streams.
+class PlacementState
+{
+public:
+    explicit PlacementState(std::int64_t count)
+    {
+        for (std::int64_t number = 0; number < count; ++number) {
+            const std::string id = "engine-" + std::to_string(number);
+            m_directory.put(
+                    { .id = id,
+                      .service = "s",
+                      .availabilityZone = std::string(1, static_cast<char>('a' + number % 3)),
+                      .capacity = 16 });
+            for (std::uint64_t stream = 0; stream < 6; ++stream) {
+                const PlacementKey key { .gateway = id, .number = stream };
+                m_ledger.begin(key,
+                               { .parts = { { .upstream = id,
+                                              .readMs = 20,
+                                              .memoryTokens = 3'000,
+                                              .writes = true } },
+                                 .size = { 3'000, 40 },
+                                 .gapObjective = Milliseconds(250),
+                                 .firstDue = start + Seconds(1),
+                                 .expires = start + Seconds(60) },
+                               start);
+                m_ledger.markRead(key, start);
+            }
+        }
+    }
+
+    PlacementDecision place(std::int64_t promptTokens)
+    {
+        const PlacementRequest request { .size = { promptTokens, 40 },
+                                         .objective = Seconds(3),
+                                         .objectiveLeft = Seconds(3),
+                                         .patienceLeft = Seconds(10),
+                                         .gapObjective = Milliseconds(600),
+                                         .availabilityZone = "a" };
+        return m_placer.placeGeneration(request, engine, m_subset.of(m_directory, "s"), m_ledger,
+                                        start);
+    }
+
+private:
+    SeededRandom m_random { 1 };
+    Placer m_placer { {}, m_random };
+    UpstreamDirectory m_directory;
+    UpstreamSubset m_subset { "gateway-1", "a" };
+    LoadLedger m_ledger;
+};
+
+void shortPromptPlacement(benchmark::State &state)
+{
+    PlacementState placement(state.range(0));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(placement.place(2'000));
+}
+
+void longPromptPlacement(benchmark::State &state)
+{
+    PlacementState placement(state.range(0));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(placement.place(200'000));
+}
+
+BENCHMARK(shortPromptPlacement)->Arg(23)->Arg(1'000)->Arg(4'800);
+BENCHMARK(longPromptPlacement)->Arg(23)->Arg(1'000)->Arg(4'800);
+
+} // namespace
--- /dev/null
+++ b/Tests/LibForward/TestUpstreamSubset.cpp
@@ -0,0 +1,94 @@
+#include "lavenderpick/Forward/UpstreamSubset.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+namespace Lavenderpick {
+
+namespace {
+
+const std::vector<std::string> zones { "a", "b", "c" };
+
+UpstreamRecord upstream(int number)
+{
+    return { .id = "u" + std::to_string(number),
+             .service = "s",
+             .availabilityZone = zones[static_cast<std::size_t>(number) % zones.size()] };
+}
+
+std::set<std::string> ids(const std::vector<const UpstreamRecord *> &upstreams)
+{
+    std::set<std::string> result;
+    for (const UpstreamRecord *record : upstreams)
+        result.insert(record->id);
+    return result;
+}
+
+struct Fixture
+{
+    explicit Fixture(int count = 4'800)
+    {
+        for (int number = 0; number < count; ++number)
+            directory.put(upstream(number));
+    }
+
+    UpstreamDirectory directory;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamSubsetTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(fewUpstreamsAreAllUsed)
+{
+    Fixture few(UpstreamSubset::maximumSize);
+    UpstreamSubset subset("g", "a");
+    BOOST_CHECK_EQUAL(subset.of(few.directory, "s").size(), UpstreamSubset::maximumSize);
+    BOOST_CHECK(subset.of(few.directory, "other").empty());
+}
+
+BOOST_AUTO_TEST_CASE(mostAreOfTheGatewaysZone)
+{
+    UpstreamSubset subset("g", "b");
+    const auto &drawn = subset.of(directory, "s");
+    BOOST_CHECK_EQUAL(ids(drawn).size(), UpstreamSubset::maximumSize);
+    BOOST_CHECK_EQUAL(
+            std::count_if(drawn.begin(), drawn.end(),
+                          [](const auto *record) { return record->availabilityZone == "b"; }),
+            48);
+    UpstreamSubset elsewhere("g", "d");
+    BOOST_CHECK_EQUAL(elsewhere.of(directory, "s").size(), UpstreamSubset::maximumSize);
+}
+
+BOOST_AUTO_TEST_CASE(aChangeMovesLittle)
+{
+    UpstreamSubset subset("g", "a");
+    const std::set<std::string> before = ids(subset.of(directory, "s"));
+    directory.remove(*before.begin(), TimePoint {});
+    const std::set<std::string> after = ids(subset.of(directory, "s"));
+    BOOST_CHECK_EQUAL(after.size(), UpstreamSubset::maximumSize);
+    BOOST_CHECK(!after.contains(*before.begin()));
+    BOOST_CHECK(std::includes(after.begin(), after.end(), std::next(before.begin()), before.end()));
+}
+
+// 330 gateways before 4,800 upstreams: nearly all upstreams get work, and none is crowded.
+BOOST_AUTO_TEST_CASE(gatewaysSpreadOverTheUpstreams)
+{
+    std::map<std::string, int> gatewaysOf;
+    for (int gateway = 0; gateway < 330; ++gateway) {
+        UpstreamSubset subset("gateway-" + std::to_string(gateway),
+                              zones[static_cast<std::size_t>(gateway) % zones.size()]);
+        for (const std::string &id : ids(subset.of(directory, "s")))
+            ++gatewaysOf[id];
+    }
+    BOOST_CHECK_GE(gatewaysOf.size(), 4'600U);
+    const auto most = std::max_element(
+            gatewaysOf.begin(), gatewaysOf.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; });
+    BOOST_CHECK_LE(most->second, 4 * 330 * static_cast<int>(UpstreamSubset::maximumSize) / 4'800);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Lavenderpick
