Metrics: Serve latency histograms on an address of their own

Durations of requests by kind and outcome, first events and longest pauses now come in fixed ranges that include the users' objectives.

--- a/Libraries/LibBase/Metrics.cpp
+++ b/Libraries/LibBase/Metrics.cpp
@@ -119,6 +119,12 @@
     m_distributions[{ name, labels }].add(value);
 }
 
+void Metrics::observeLatency(const std::string &name, const std::string &labels, Duration duration)
+{
+    const std::lock_guard lock(m_mutex);
+    m_histograms[{ name, labels }].add(duration);
+}
+
 void Metrics::countRefusal(RefusalReason reason)
 {
     increment(refusalsName, reasonLabel(toString(reason)));
@@ -161,6 +167,8 @@
         text << seriesName(key.first + "_sum", key.second) << ' ' << distribution.sum() << '\n';
         text << seriesName(key.first + "_max", key.second) << ' ' << distribution.maximum() << '\n';
     }
+    for (const auto &[key, histogram] : m_histograms)
+        text << histogram.toPrometheusText(key.first, key.second);
     return text.str();
 }
 
--- a/Libraries/LibForward/ServingConfiguration.cpp
+++ b/Libraries/LibForward/ServingConfiguration.cpp
@@ -2,6 +2,19 @@
 
 namespace Lavenderpick {
 
+std::string_view toString(RouteKind kind)
+{
+    switch (kind) {
+    case RouteKind::Safe:
+        return "safe";
+    case RouteKind::Unsafe:
+        return "unsafe";
+    case RouteKind::Streaming:
+        return "streaming";
+    }
+    return "unknown";
+}
+
 ServingConfiguration::ServingConfiguration(ServingConfigurationParts parts)
     : m_parts(std::move(parts))
 {
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -641,8 +641,7 @@
     if (m_done)
         return;
     m_done = true;
-    const double elapsedMs = inMilliseconds(m_state.clock.now() - m_arrived);
-    m_state.metrics.observe("lavenderpick_request_ms", "", elapsedMs);
+    recordLatencies(status);
     log(LogLevel::Info, "exchange", "finished",
         { { "request_id", m_requestId },
           { "status", status },
@@ -654,6 +653,22 @@
     m_caller.finishResponse(!closesConnection() && m_writer.framing() != BodyFraming::UntilClose);
 }
 
+void Exchange::recordLatencies(int status)
+{
+    if (m_route == nullptr)
+        return;
+    const std::string kind = "kind=\"" + std::string(toString(m_route->kind)) + "\"";
+    const bool succeeded = status >= 200 && status < 300;
+    m_state.metrics.observeLatency(
+            "lavenderpick_request_duration_seconds",
+            kind + (succeeded ? ",outcome=\"success\"" : ",outcome=\"failure\""),
+            m_state.clock.now() - m_arrived);
+    if (m_events.eventCount() == 0)
+        return;
+    m_state.metrics.observeLatency("lavenderpick_first_event_seconds", "", m_firstEventAfter);
+    m_state.metrics.observeLatency("lavenderpick_longest_pause_seconds", "", m_longestGap);
+}
+
 void Exchange::cancel()
 {
     if (m_done)
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -84,6 +84,7 @@
     void failRequest(const std::string &cause);
     void abortResponse(const std::string &cause);
     void finish(int status);
+    void recordLatencies(int status);
     void logAttempt(std::string_view message, const std::string &cause) const;
 
     Duration remaining() const { return m_deadline - m_state.clock.now(); }
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -30,6 +30,12 @@
                   })
     , m_peerServer(context, m_state.settings.peerAddress,
                    [this](const std::string &target) { return answerPeer(target); })
+    , m_metricsServer(
+              m_state.settings.metricsAddress.empty()
+                      ? nullptr
+                      : std::make_unique<LocalHttpServer>(
+                              context, m_state.settings.metricsAddress,
+                              [this](const std::string &target) { return answerMetrics(target); }))
     , m_peers(m_state)
     , m_sweepTimer(context)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
@@ -184,11 +190,18 @@
     log(LogLevel::Info, "gateway", "stopping", { { "open_requests", m_state.openRequests } });
 }
 
+LocalResponse GatewayProcess::answerMetrics(const std::string &target) const
+{
+    if (target != "/metrics")
+        return { .status = 404 };
+    return { .contentType = "text/plain; version=0.0.4",
+             .body = m_state.metrics.toPrometheusText() };
+}
+
 LocalResponse GatewayProcess::answerPeer(const std::string &target)
 {
     if (target == "/metrics")
-        return { .contentType = "text/plain; version=0.0.4",
-                 .body = m_state.metrics.toPrometheusText() };
+        return answerMetrics(target);
     if (target == "/configuration" && m_state.configuration)
         return { .body = servingState() };
     return { .status = 404 };
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -32,6 +32,7 @@
     void continueStop(TimePoint now);
     void closeListener();
     void reopenListener();
+    LocalResponse answerMetrics(const std::string &target) const;
     LocalResponse answerPeer(const std::string &target);
     std::string servingState() const;
 
@@ -51,6 +52,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     LocalHttpServer m_readiness;
     LocalHttpServer m_peerServer;
+    std::unique_ptr<LocalHttpServer> m_metricsServer; ///< Null where the settings name none.
     PeerExchange m_peers;
     asio::steady_timer m_sweepTimer;
     asio::signal_set m_signals;
--- a/Services/Gateway/GatewaySettings.cpp
+++ b/Services/Gateway/GatewaySettings.cpp
@@ -13,6 +13,7 @@
         .callerAddress = listen.text("callers"),
         .readinessAddress = listen.text("readiness"),
         .peerAddress = listen.text("peers"),
+        .metricsAddress = listen.text("metrics", ""),
         .platformAddress = root.map("platform").text("address"),
         .seeds = root.texts("seeds"),
         .stopGrace = root.duration("stop_grace", { Milliseconds(500), Seconds(600) },
--- a/Services/Gateway/GatewaySettings.h
+++ b/Services/Gateway/GatewaySettings.h
@@ -17,6 +17,7 @@
     std::string callerAddress;         ///< `host:port` for callers.
     std::string readinessAddress;      ///< `host:port` for the load balancer's question.
     std::string peerAddress;           ///< `host:port` for peers, UDP and TCP, and for metrics.
+    std::string metricsAddress;        ///< `host:port` for metrics alone; empty for none.
     std::string platformAddress;       ///< `host:port` of the platform's store.
     std::vector<std::string> seeds;    ///< `host:port` of peers that may be down.
     Duration stopGrace { Seconds(8) }; ///< From SIGTERM to SIGKILL.
--- a/Tests/Processes/GatewayTest.py
+++ b/Tests/Processes/GatewayTest.py
@@ -30,13 +30,14 @@
 
     def __init__(self, folder, name, store, seeds=(), host="127.0.0.1", peer_port=None):
         self.peer_port = peer_port or free_port()
-        self.callers, self.readiness = (f"{host}:{free_port()}" for _ in range(2))
+        self.callers, self.readiness, self.metrics = (f"{host}:{free_port()}" for _ in range(3))
         self.peers = f"{host}:{self.peer_port}"
         self.settings = os.path.join(folder, name + ".yaml")
         self.log_path = os.path.join(folder, name + ".log")
         with open(self.settings, "w") as file:
             json.dump({"name": name, "availability_zone": "a",
-                       "listen": {"callers": self.callers, "readiness": self.readiness, "peers": self.peers},
+                       "listen": {"callers": self.callers, "readiness": self.readiness,
+                                  "peers": self.peers, "metrics": self.metrics},
                        "platform": {"address": store.address}, "seeds": list(seeds), "stop_grace": "8 s",
                        "retries": {"ratio": 0.2, "slack": 100, "window": "10 s"}}, file)
         self.log = open(self.log_path, "w")
@@ -162,6 +163,14 @@
         text = call(gateway.peers, "GET", "/metrics").body.decode()
         self.assertIn('lavenderpick_refusals_total{reason="not_found"} 1', text)
 
+    def test_latency_histograms_are_served_on_the_metrics_address(self):
+        gateway = self.start()
+        self.assertEqual(gateway.send("/lookup/").status, 200)
+        text = call(gateway.metrics, "GET", "/metrics").body.decode()
+        series = 'lavenderpick_request_duration_seconds_bucket{kind="safe",outcome="success",le="+Inf"} 1'
+        self.assertIn(series, text)
+        self.assertEqual(call(gateway.metrics, "GET", "/configuration").status, 404)
+
     def test_a_request_can_be_followed_by_its_id(self):
         gateway = self.start()
         gateway.send("/lookup/", "find-me")
--- a/include/lavenderpick/Base/Metrics.h
+++ b/include/lavenderpick/Base/Metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lavenderpick/Base/LatencyHistogram.h"
 #include "lavenderpick/Base/Reasons.h"
 
 #include <cstdint>
@@ -48,6 +49,9 @@
     void setGauge(const std::string &name, const std::string &labels, double value);
     void observe(const std::string &name, const std::string &labels, double value);
 
+    /// Adds to a histogram; `name` ends in `_seconds`.
+    void observeLatency(const std::string &name, const std::string &labels, Duration duration);
+
     void countRefusal(RefusalReason reason);
     void countRetry(RetryReason reason);
 
@@ -63,6 +67,7 @@
     std::map<Key, std::uint64_t> m_counters;
     std::map<Key, double> m_gauges;
     std::map<Key, Distribution> m_distributions;
+    std::map<Key, LatencyHistogram> m_histograms;
 };
 
 } // namespace Lavenderpick
--- a/include/lavenderpick/Forward/ServingConfiguration.h
+++ b/include/lavenderpick/Forward/ServingConfiguration.h
@@ -17,6 +17,8 @@
     Streaming, ///< Answers with events; may be repeated only where the route is resumable.
 };
 
+std::string_view toString(RouteKind kind);
+
 /// A service that gets a share of a route's requests.
 struct RouteTarget
 {
