PeerExchange: Take datagrams of gateways that do not tell whether they are ready

During an update of all gateways the version before sends no 'ready'; its placements were dropped with the datagram. Seen by reading the diff; no test, as no older version is at hand.

--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -170,7 +170,8 @@
         known.incarnation = incarnation;
         sendOpenPlacements(sender);
     }
-    known.ready = requireBool(message, "ready");
+    // Gateways of the version before do not tell; most that run are ready.
+    known.ready = optionalBool(message, "ready", true);
     known.heard = m_state.clock.now();
     for (const nlohmann::json &event : requireArray(message, "events"))
         applyEvent(gateway, event);
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -22,6 +22,7 @@
     std::string availabilityZone;   ///< Of this gateway.
     std::set<std::string> excluded; ///< Upstreams that failed this request already.
     /// Requests that an upstream takes from all gateways; each needs a connection. Zero: no bound.
+    /// Prompts that it only helps to read count too, although they need none.
     int maximumOpen { 0 };
 
     /// Whether the upstream may get this request.
