Placer: Count the pass of a busy engine in the time that a request may wait

The latest start counted only the reading, as if all engines were idle. It now counts the writing pass of the engine that writes soonest, and its next free place. The test of four full engines fails before.

--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace Lavenderpick {
 
@@ -13,6 +14,25 @@
 
 } // namespace
 
+double Placer::leastWritingWaitMs(const EngineParameters &engine,
+                                  const std::vector<Candidate> &candidates,
+                                  const GenerationSize &size)
+{
+    // Streams write less than their maximum: on played days the median took 0.45 of the time.
+    constexpr double writtenShare = 0.5;
+    const double passes = std::ceil(static_cast<double>(size.maximumOutputTokens)
+                                    / std::max(1, engine.strideTokens));
+    double least = std::numeric_limits<double>::infinity();
+    for (const Candidate &candidate : candidates) {
+        double waitMs = candidate.writingPassMs;
+        // The streams of a full batch end evenly spread.
+        if (static_cast<int>(candidate.load->open().size()) >= engine.batch)
+            waitMs += writtenShare * passes * candidate.writingPassMs / engine.batch;
+        least = std::min(least, waitMs);
+    }
+    return candidates.empty() ? 0 : least;
+}
+
 std::vector<Placer::Candidate>
 Placer::candidates(const PlacementRequest &request, const EngineParameters &engine,
                    const std::vector<const UpstreamRecord *> &upstreams, const LoadLedger &ledger,
@@ -195,7 +215,8 @@
         decision.placement.firstDue = now + request.objectiveLeft;
         const int parts =
                 splits ? std::min(m_settings.maximumParts, static_cast<int>(all.size())) : 1;
-        decision.fastestFirstMs = readMs(engine, request.size.promptTokens, parts);
+        decision.fastestFirstMs = readMs(engine, request.size.promptTokens, parts)
+                + leastWritingWaitMs(engine, all, request.size);
         return decision;
     }
     if (all.empty())
--- a/Tests/LibForward/TestPlacer.cpp
+++ b/Tests/LibForward/TestPlacer.cpp
@@ -306,6 +306,26 @@
     BOOST_CHECK(!placer.placeGeneration(huge, engine, upstreams, ledger, start).isPlaced());
 }
 
+// A request that waits here must leave in time for the pass of a busy engine, not of an idle one.
+BOOST_AUTO_TEST_CASE(busyEnginesLeaveNoTimeToWait)
+{
+    const PlacementRequest shortRequest = request(reply);
+    const double idleMs =
+            placer.placeGeneration(shortRequest, engine, upstreams, ledger, start).fastestFirstMs;
+    for (const UpstreamRecord *record : upstreams) {
+        for (int stream = 0; stream < engine.batch; ++stream)
+            ledger.markRead(open(record->id, reply, 30), start);
+    }
+    const UpstreamLoad &load = ledger.load("a");
+    const double passMs = writingPassMs(engine, load.writers(), load.contextTokens());
+    const PlacementDecision decision =
+            placer.placeGeneration(shortRequest, engine, upstreams, ledger, start);
+    // Sixteen streams that write half of their maximum end evenly spread over their time.
+    const double passes = std::ceil(static_cast<double>(reply.outputTokens) / engine.strideTokens);
+    const double placeMs = passes / 2 * passMs / engine.batch;
+    BOOST_CHECK_CLOSE(decision.fastestFirstMs, idleMs + passMs + placeMs, 1e-6);
+}
+
 // Guards against giving up on a long prompt that can't be on time: its caller still waits.
 BOOST_AUTO_TEST_CASE(aLatePromptIsStillReadFast)
 {
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -53,7 +53,7 @@
     double predictedFirstMs { 0 }; ///< Until the first event.
     /// Until the last event, if nothing else is read meanwhile; zero for plain services.
     double predictedEndMs { 0 };
-    /// The same, were all upstreams idle and the prompt split most.
+    /// The same, if no upstream were reading and the prompt were split most.
     double fastestFirstMs { 0 };
     double cost { 0 };
     double harm { 0 }; ///< Weight of the requests of others that it would make late.
@@ -133,6 +133,11 @@
                                       const EngineParameters &engine,
                                       const std::vector<const UpstreamRecord *> &upstreams,
                                       const LoadLedger &ledger, TimePoint now) const;
+    /// Milliseconds until the first event after a prompt is read: the pass of the upstream that
+    /// writes soonest.
+    static double leastWritingWaitMs(const EngineParameters &engine,
+                                     const std::vector<Candidate> &candidates,
+                                     const GenerationSize &size);
     double latenessCost(double firstMs, const PlacementRequest &request) const;
     double harm(const Candidate &candidate, double readMs, TimePoint now) const;
     /// Who answers: one that holds the prompt if there is one, else the one with most free memory.
