GatewayProcess: Serve callers also where the metrics port is taken

Seen by reading the diff: a port that another program holds would have kept the gateway from starting. The new case of GatewayTest fails before.

--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -30,12 +30,7 @@
                   })
     , m_peerServer(context, m_state.settings.peerAddress,
                    [this](const std::string &target) { return answerPeer(target); })
-    , m_metricsServer(
-              m_state.settings.metricsAddress.empty()
-                      ? nullptr
-                      : std::make_unique<LocalHttpServer>(
-                              context, m_state.settings.metricsAddress,
-                              [this](const std::string &target) { return answerMetrics(target); }))
+    , m_metricsServer(listenForMetrics())
     , m_peers(m_state)
     , m_sweepTimer(context)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
@@ -190,6 +185,21 @@
     log(LogLevel::Info, "gateway", "stopping", { { "open_requests", m_state.openRequests } });
 }
 
+std::unique_ptr<LocalHttpServer> GatewayProcess::listenForMetrics()
+{
+    if (m_state.settings.metricsAddress.empty())
+        return nullptr;
+    try {
+        return std::make_unique<LocalHttpServer>(
+                m_context, m_state.settings.metricsAddress,
+                [this](const std::string &target) { return answerMetrics(target); });
+    } catch (const Error &error) {
+        // Callers are served without it, and peers' address has the metrics too.
+        log(LogLevel::Warning, "gateway", error.what());
+        return nullptr;
+    }
+}
+
 LocalResponse GatewayProcess::answerMetrics(const std::string &target) const
 {
     if (target != "/metrics")
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -32,6 +32,7 @@
     void continueStop(TimePoint now);
     void closeListener();
     void reopenListener();
+    std::unique_ptr<LocalHttpServer> listenForMetrics();
     LocalResponse answerMetrics(const std::string &target) const;
     LocalResponse answerPeer(const std::string &target);
     std::string servingState() const;
@@ -52,7 +53,7 @@
     asio::ip::tcp::acceptor m_acceptor;
     LocalHttpServer m_readiness;
     LocalHttpServer m_peerServer;
-    std::unique_ptr<LocalHttpServer> m_metricsServer; ///< Null where the settings name none.
+    std::unique_ptr<LocalHttpServer> m_metricsServer; ///< Null where there is none.
     PeerExchange m_peers;
     asio::steady_timer m_sweepTimer;
     asio::signal_set m_signals;
--- a/Tests/Processes/GatewayTest.py
+++ b/Tests/Processes/GatewayTest.py
@@ -5,6 +5,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -28,10 +29,11 @@
 class Gateway:
     """One process, its addresses and its log."""
 
-    def __init__(self, folder, name, store, seeds=(), host="127.0.0.1", peer_port=None):
+    def __init__(self, folder, name, store, seeds=(), host="127.0.0.1", peer_port=None, metrics=None):
         self.peer_port = peer_port or free_port()
-        self.callers, self.readiness, self.metrics = (f"{host}:{free_port()}" for _ in range(3))
+        self.callers, self.readiness = (f"{host}:{free_port()}" for _ in range(2))
         self.peers = f"{host}:{self.peer_port}"
+        self.metrics = metrics or f"{host}:{free_port()}"
         self.settings = os.path.join(folder, name + ".yaml")
         self.log_path = os.path.join(folder, name + ".log")
         with open(self.settings, "w") as file:
@@ -171,6 +173,13 @@
         self.assertIn(series, text)
         self.assertEqual(call(gateway.metrics, "GET", "/configuration").status, 404)
 
+    def test_a_taken_metrics_port_stops_no_gateway(self):
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            gateway = self.start(metrics=f"127.0.0.1:{taken.getsockname()[1]}")
+            self.assertEqual(gateway.send("/lookup/").status, 200)
+
     def test_a_request_can_be_followed_by_its_id(self):
         gateway = self.start()
         gateway.send("/lookup/", "find-me")
