--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -24,11 +24,11 @@
                                     / std::max(1, engine.strideTokens));
     double least = std::numeric_limits<double>::infinity();
     for (const Candidate &candidate : candidates) {
-        double waitMs = candidate.writingPassMs;
+        double soonestMs = candidate.writingPassMs;
         // The streams of a full batch end evenly spread.
         if (static_cast<int>(candidate.load->open().size()) >= engine.batch)
-            waitMs += writtenShare * passes * candidate.writingPassMs / engine.batch;
-        least = std::min(least, waitMs);
+            soonestMs += writtenShare * passes * candidate.writingPassMs / engine.batch;
+        least = std::min(least, soonestMs);
     }
     return candidates.empty() ? 0 : least;
 }
