--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -30,6 +30,8 @@
     local failed=0 index
     for index in "${!processes[@]}"; do
         if wait "${processes[$index]}"; then
+            # What is passed over must be seen also where everything passes.
+            grep -A 6 '^Known red' "$logs/${names[$index]}" || true
             tail -n 3 "$logs/${names[$index]}"
         else
             cat "$logs/${names[$index]}"
