Gateway: Let one gateway of each group read the store for the others

Cause: every gateway polled two tables, and each change completed each poll.

Change: FeedSchedule decides when a gateway reads a table: one reader a group polls and relays the changes with their revisions; followers read only what they lack, or when no confirmation is younger than half of the propagation limit. PeerDirectory forms the groups: up to 32 gateways one, above that one a zone if each zone has enough engines (ZoneLocality); the gateways of a zone then place at its engines. Peers that were silent for 10 s get a heartbeat every 5 s only. Gateways register before they list each other, and list rarely instead of polling. Changes that follow each other are collected.

Ruled out: a common poller for all zones (its datagrams would cross zones); relaying the configuration itself (too large for the datagrams of small VMs; each follower reads it once). Tests of this commit and GatewayTest pass.

--- a/Libraries/LibForward/UpstreamDirectory.cpp
+++ b/Libraries/LibForward/UpstreamDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "lavenderpick/Base/Json.h"
 
+#include <algorithm>
 #include <set>
 
 namespace Lavenderpick {
@@ -89,6 +90,19 @@
     m_gracePeriodEnd = now + recoveryGracePeriod;
 }
 
+Duration UpstreamDirectory::removalDelay(TimePoint now) const
+{
+    if (m_storeUnavailable)
+        return recoveryGracePeriod;
+    return std::max(Duration {}, m_gracePeriodEnd - now);
+}
+
+void UpstreamDirectory::extendRemovalDelay(Duration delay, TimePoint now)
+{
+    m_gracePeriodEnd =
+            std::max(m_gracePeriodEnd, now + std::min<Duration>(delay, recoveryGracePeriod));
+}
+
 std::vector<std::string> UpstreamDirectory::expire(TimePoint now)
 {
     std::vector<std::string> removedIds;
--- a/Libraries/LibForward/UpstreamSubset.cpp
+++ b/Libraries/LibForward/UpstreamSubset.cpp
@@ -14,8 +14,11 @@
     if (ready.size() <= maximumSize)
         return ready;
     Selection &selection = m_selections[service];
-    if (selection.generation != directory.generation() || selection.upstreams.empty())
-        selection = { .generation = directory.generation(), .upstreams = computeSelection(ready) };
+    if (selection.generation != directory.generation() || selection.ownZoneOnly != m_ownZoneOnly
+        || selection.upstreams.empty())
+        selection = { .generation = directory.generation(),
+                      .ownZoneOnly = m_ownZoneOnly,
+                      .upstreams = computeSelection(ready) };
     return selection.upstreams;
 }
 
@@ -35,6 +38,8 @@
     };
     std::sort(own.begin(), own.end(), byRank);
     std::sort(other.begin(), other.end(), byRank);
+    if (m_ownZoneOnly && !own.empty())
+        other.clear();
     const auto ownTarget = static_cast<std::size_t>(ownZoneShare * maximumSize);
     // If one group has too few upstreams, the other supplies the rest.
     const std::size_t fromOther =
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -31,7 +31,8 @@
     , m_peerServer(context, m_state.settings.peerAddress,
                    [this](const std::string &target) { return peerResponse(target); })
     , m_metricsServer(openMetricsServer())
-    , m_peerExchange(m_state)
+    , m_peerExchange(m_state, source)
+    , m_zoneLocality(m_state.settings.availabilityZone)
     , m_sweepTimer(context)
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
@@ -54,7 +55,9 @@
         if (!m_state.hasUpstreamList)
             upstreamsListed(upstreams);
     });
-    m_source.start(*this, m_state.settings.peerAddress);
+    m_source.start(*this,
+                   { .address = m_state.settings.peerAddress,
+                     .availabilityZone = m_state.settings.availabilityZone });
     m_context.run();
     log(LogLevel::Info, "gateway", "stopped", { { "open_requests", m_state.openRequests } });
 }
@@ -95,8 +98,10 @@
     const TimePoint now = m_state.clock.now();
     m_source.checkTimeouts(now);
     m_peerExchange.sweep(now);
-    m_state.retryBudget.setGatewayCount(m_peerExchange.gatewayCount());
-    m_state.pool.setGatewayCount(m_peerExchange.gatewayCount());
+    const std::size_t gatewayCount = m_peerExchange.directory().gatewayCount();
+    m_state.retryBudget.setGatewayCount(gatewayCount);
+    m_state.pool.setGatewayCount(gatewayCount);
+    updateZoneLocality();
     for (const std::string &id : m_state.upstreams.expire(now))
         forgetUpstream(id);
     m_state.ledger.expire(now);
@@ -115,12 +120,12 @@
 void GatewayProcess::continueStop(TimePoint now)
 {
     const bool acceptsConnections =
-            m_state.stop.acceptsConnections(now, m_peerExchange.hasReadyPeer(now));
+            m_state.stop.acceptsConnections(now, m_peerExchange.directory().hasReadyPeer(now));
     if (acceptsConnections != m_acceptor.is_open()) {
         log(LogLevel::Info, "gateway",
             acceptsConnections ? "accepting again" : "no longer accepting",
             { { "stopping_ms", toMilliseconds(m_state.stop.elapsed(now)) },
-              { "gateways", m_peerExchange.gatewayCount() } });
+              { "gateways", m_peerExchange.directory().gatewayCount() } });
         if (acceptsConnections)
             reopenListener();
         else
@@ -296,20 +301,43 @@
     m_state.outliers.forget(id);
 }
 
-void GatewayProcess::membersListed(const std::vector<std::string> &addresses)
+void GatewayProcess::upstreamChangesRead(const UpstreamChangeSet &changes)
 {
-    m_peerExchange.setMembers(addresses);
+    m_peerExchange.sendChanges(changes);
+}
+
+void GatewayProcess::gatewaysListed(const std::vector<GatewayRecord> &gateways)
+{
+    m_peerExchange.setRegistered(gateways);
+}
+
+void GatewayProcess::updateZoneLocality()
+{
+    if (m_state.configuration && m_localityGeneration != m_state.upstreams.generation()) {
+        m_localityGeneration = m_state.upstreams.generation();
+        std::vector<const UpstreamRecord *> engines;
+        for (const ServiceProfile &service : m_state.configuration->services()) {
+            const auto &ready = m_state.upstreams.ready(service.name);
+            if (service.engine)
+                engines.insert(engines.end(), ready.begin(), ready.end());
+        }
+        m_zoneLocality.update(engines);
+        m_peerExchange.setZonesServeThemselves(m_zoneLocality.isLocal());
+    }
+    m_state.subset.setOwnZoneOnly(m_peerExchange.directory().groupsAreZones());
 }
 
 void GatewayProcess::storeLost(const std::string &reason)
 {
     m_state.upstreams.storeLost();
+    m_peerExchange.setStoreLost(true);
     log(LogLevel::Warning, "gateway", "store lost", { { "reason", reason } });
 }
 
 void GatewayProcess::storeRegained()
 {
     m_state.upstreams.storeRegained(m_state.clock.now());
+    m_peerExchange.setStoreLost(false);
     log(LogLevel::Info, "gateway", "store regained");
 }
 
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -4,6 +4,7 @@
 #include "Services/Gateway/InboundConnection.h"
 #include "Services/Gateway/LocalHttpServer.h"
 #include "Services/Gateway/PeerExchange.h"
+#include "lavenderpick/Forward/ZoneLocality.h"
 
 #include <memory>
 #include <set>
@@ -43,11 +44,13 @@
     void configurationRead(const ConfigurationSnapshot &snapshot) override;
     void upstreamsListed(const std::vector<UpstreamRecord> &records) override;
     void upstreamChanged(const UpstreamChange &change) override;
-    void membersListed(const std::vector<std::string> &addresses) override;
+    void upstreamChangesRead(const UpstreamChangeSet &changes) override;
+    void gatewaysListed(const std::vector<GatewayRecord> &gateways) override;
     void storeLost(const std::string &reason) override;
     void storeRegained() override;
 
     void forgetUpstream(const std::string &id);
+    void updateZoneLocality();
 
     asio::io_context &m_context;
     GatewayState m_state;
@@ -58,6 +61,8 @@
     LocalHttpServer m_peerServer;
     std::unique_ptr<LocalHttpServer> m_metricsServer; ///< Null if not listening.
     PeerExchange m_peerExchange;
+    ZoneLocality m_zoneLocality;
+    std::uint64_t m_localityGeneration { 0 }; ///< Of the directory that `m_zoneLocality` saw.
     asio::steady_timer m_sweepTimer;
     asio::signal_set m_signals;
     std::set<std::shared_ptr<InboundConnection>> m_connections;
--- a/Services/Gateway/GatewaySettings.cpp
+++ b/Services/Gateway/GatewaySettings.cpp
@@ -1,10 +1,13 @@
 #include "Services/Gateway/GatewaySettings.h"
 
+#include <algorithm>
+
 namespace Lavenderpick {
 
 GatewaySettings GatewaySettings::parse(const SettingsMap &root)
 {
     const SettingsMap listen = root.map("listen");
+    const SettingsMap platform = root.map("platform");
     const SettingsMap retries = root.map("retries");
     const GatewaySettings defaults;
     return {
@@ -14,7 +17,12 @@
         .readinessAddress = listen.text("readiness"),
         .peerAddress = listen.text("peers"),
         .metricsAddress = listen.text("metrics", ""),
-        .platformAddress = root.map("platform").text("address"),
+        .platformAddress = platform.text("address"),
+        .propagationLimit = std::min(
+                platform.duration("configuration_limit", { Milliseconds(500), Seconds(60) },
+                                  defaults.propagationLimit),
+                platform.duration("draining_limit", { Milliseconds(500), Seconds(60) },
+                                  defaults.propagationLimit)),
         .seeds = root.texts("seeds"),
         .stopGrace = root.duration("stop_grace", { Milliseconds(500), Seconds(600) },
                                    defaults.stopGrace),
--- a/Services/Gateway/GatewaySettings.h
+++ b/Services/Gateway/GatewaySettings.h
@@ -14,11 +14,13 @@
 {
     std::string name;
     std::string availabilityZone;
-    std::string callerAddress;         ///< `host:port` for callers.
-    std::string readinessAddress;      ///< `host:port` for the load balancer's health checks.
-    std::string peerAddress;           ///< `host:port` for peers (UDP and TCP) and for metrics.
-    std::string metricsAddress;        ///< `host:port` for metrics only; empty for none.
-    std::string platformAddress;       ///< `host:port` of the platform's store.
+    std::string callerAddress;    ///< `host:port` for callers.
+    std::string readinessAddress; ///< `host:port` for the load balancer's health checks.
+    std::string peerAddress;      ///< `host:port` for peers (UDP and TCP) and for metrics.
+    std::string metricsAddress;   ///< `host:port` for metrics only; empty for none.
+    std::string platformAddress;  ///< `host:port` of the platform's store.
+    /// Time within which a change in the store is in force here.
+    Duration propagationLimit { Seconds(2) };
     std::vector<std::string> seeds;    ///< `host:port` of initial peers, which may be down.
     Duration stopGrace { Seconds(8) }; ///< Time from SIGTERM to SIGKILL.
     std::int64_t memoryBytes { 256 * 1024 * 1024 };
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -15,12 +15,44 @@
 // fit in one packet.
 constexpr std::size_t eventFlushThreshold = 8;
 constexpr Duration fetchTimeout { Milliseconds(800) };
+// A change takes about 150 bytes; these fit in one packet.
+constexpr std::size_t changesPerDatagram = 8;
+constexpr Duration groupUpdateInterval { Milliseconds(200) };
+// A gateway reads a newer configuration from the store; from a peer only when that takes longer.
+constexpr Duration storeReadAllowance { Milliseconds(400) };
 
 // Event types: the first element of each event.
 constexpr int placedEvent = 1;
 constexpr int promptPrefilledEvent = 2;
 constexpr int endedEvent = 3;
 
+nlohmann::json encodeReport(const FeedReport &report)
+{
+    return { report.newestChange, report.readTo, toMilliseconds(report.age) };
+}
+
+FeedReport decodeReport(const nlohmann::json &json)
+{
+    return { .newestChange = json.at(0).get<std::int64_t>(),
+             .readTo = json.at(1).get<std::int64_t>(),
+             .age = Milliseconds(json.at(2).get<std::int64_t>()) };
+}
+
+nlohmann::json encodeChange(const UpstreamChangeSet::Entry &entry)
+{
+    return { entry.revision, entry.change.id,
+             entry.change.record ? entry.change.record->toJson() : nlohmann::json() };
+}
+
+UpstreamChangeSet::Entry decodeChange(const nlohmann::json &json)
+{
+    UpstreamChangeSet::Entry entry { .revision = json.at(0).get<std::int64_t>(),
+                                     .change = { .id = json.at(1).get<std::string>() } };
+    if (!json.at(2).is_null())
+        entry.change.record = UpstreamRecord::parse(json.at(2));
+    return entry;
+}
+
 } // namespace
 
 /// Fetches the configuration and the upstreams of one peer.
@@ -92,10 +124,12 @@
     bool m_done { false };
 };
 
-PeerExchange::PeerExchange(GatewayState &state)
+PeerExchange::PeerExchange(GatewayState &state, ControlPlaneSource &source)
     : m_state(state)
+    , m_source(source)
     , m_socket(state.context)
     , m_receiveBuffer(maximumDatagramBytes)
+    , m_directory(state.settings.name, state.settings.peerAddress, state.settings.availabilityZone)
     , m_ownIncarnation(newIdentifier(state.random, "g"))
     , m_pendingEvents(nlohmann::json::array())
 { }
@@ -110,6 +144,7 @@
     m_socket.bind({ address.address(), address.port() });
     m_socket.non_blocking(true);
     addSeeds();
+    updateGroup(m_state.clock.now());
     receive();
 }
 
@@ -118,21 +153,58 @@
     // A seed names another port of its VM; all gateways use the same port for peers.
     const auto port = parseEndpoint(m_state.settings.peerAddress).port();
     for (const std::string &seed : m_state.settings.seeds)
-        addPeer(parseEndpoint(seed).address().to_string() + ":" + std::to_string(port));
+        m_directory.addSeed(parseEndpoint(seed).address().to_string() + ":" + std::to_string(port),
+                            m_state.clock.now());
 }
 
-void PeerExchange::addPeer(const std::string &address)
+void PeerExchange::setRegistered(const std::vector<GatewayRecord> &gateways)
 {
-    if (address != m_state.settings.peerAddress)
-        m_peerAddresses.insert(address);
+    const TimePoint now = m_state.clock.now();
+    m_directory.setRegistered(gateways, now);
+    addSeeds();
+    updateGroup(now);
 }
 
-void PeerExchange::setMembers(const std::vector<std::string> &addresses)
+void PeerExchange::setZonesServeThemselves(bool serve)
 {
-    m_peerAddresses.clear();
-    for (const std::string &address : addresses)
-        addPeer(address);
-    addSeeds();
+    m_directory.setZonesServeThemselves(serve);
+    updateGroup(m_state.clock.now());
+}
+
+void PeerExchange::updateGroup(TimePoint now)
+{
+    m_nextGroupUpdateAt = now + groupUpdateInterval;
+    m_group = resolve(m_directory.groupAddresses(now));
+    const FeedRole role = m_directory.role(m_state.isReady(), now);
+    if (role == m_role)
+        return;
+    m_role = role;
+    m_source.setRole(role);
+    m_nextHeartbeatAt = {};
+    log(LogLevel::Info, "peers", "role of reading the store changed",
+        { { "role", toString(role) },
+          { "gateways", m_directory.gatewayCount() },
+          { "group", m_group.size() } });
+}
+
+std::vector<PeerExchange::Endpoint> PeerExchange::resolve(const std::vector<std::string> &addresses)
+{
+    std::vector<Endpoint> endpoints;
+    for (const std::string &address : addresses) {
+        const auto known = m_endpoints.find(address);
+        if (known != m_endpoints.end()) {
+            endpoints.push_back(known->second);
+            continue;
+        }
+        try {
+            const asio::ip::tcp::endpoint parsed = parseEndpoint(address);
+            endpoints.emplace_back(parsed.address(), parsed.port());
+            m_endpoints[address] = endpoints.back();
+        } catch (const Error &error) {
+            log(LogLevel::Warning, "peers", error.what());
+        }
+    }
+    return endpoints;
 }
 
 void PeerExchange::receive()
@@ -161,23 +233,59 @@
 
 void PeerExchange::handleMessage(const nlohmann::json &message, const std::string &sender)
 {
-    const std::string gateway = requireString(message, "gateway");
-    const std::string incarnation = requireString(message, "incarnation");
-    if (gateway == m_state.settings.name)
+    // Gateways of earlier versions send neither the zone nor `ready`; most of them are ready.
+    const PeerReport report { .gateway = requireString(message, "gateway"),
+                              .incarnation = requireString(message, "incarnation"),
+                              .availabilityZone = optionalString(message, "zone", ""),
+                              .ready = optionalBool(message, "ready", true) };
+    if (report.gateway == m_state.settings.name)
         return;
-    addPeer(sender);
-    PeerState &peer = m_peerStates[gateway];
-    if (peer.incarnation != incarnation) {
-        m_state.ledger.forgetGateway(gateway, m_state.clock.now());
-        peer.incarnation = incarnation;
-        sendOpenPlacements(sender);
+    const TimePoint now = m_state.clock.now();
+    if (m_directory.recordReport(report, sender, now)) {
+        m_state.ledger.forgetGateway(report.gateway, now);
+        updateGroup(now);
+        if (m_directory.isInGroup(sender))
+            sendOpenPlacements(sender);
     }
-    // Gateways of the previous version don't send this field; most running gateways are ready.
-    peer.ready = optionalBool(message, "ready", true);
-    peer.lastMessageAt = m_state.clock.now();
     for (const nlohmann::json &event : requireArray(message, "events"))
-        applyEvent(gateway, event);
-    if (requireInteger(message, "revision") > m_state.configurationRevision)
+        applyEvent(report.gateway, event);
+    try {
+        handleChanges(message, now);
+    } catch (const nlohmann::json::exception &error) {
+        throw Error(ErrorKind::InvalidMessage, std::string("malformed report: ") + error.what(),
+                    "Run the same version on all gateways.");
+    }
+    handleRevision(requireInteger(message, "revision"), sender, now);
+}
+
+void PeerExchange::handleChanges(const nlohmann::json &message, TimePoint now)
+{
+    if (message.contains("removal_delay_ms"))
+        m_state.upstreams.extendRemovalDelay(
+                Milliseconds(message.at("removal_delay_ms").get<std::int64_t>()), now);
+    if (message.contains("changes")) {
+        UpstreamChangeSet changes { .previousChange =
+                                            message.at("previous_change").get<std::int64_t>() };
+        for (const nlohmann::json &change : message.at("changes"))
+            changes.entries.push_back(decodeChange(change));
+        m_source.peerReadChanges(changes, now);
+    }
+    if (message.contains("store"))
+        m_source.peerReported(
+                { .configuration = decodeReport(message.at("store").at("configuration")),
+                  .upstreams = decodeReport(message.at("store").at("upstreams")) },
+                now);
+}
+
+void PeerExchange::handleRevision(std::int64_t revision, const std::string &sender, TimePoint now)
+{
+    if (revision <= m_state.configurationRevision) {
+        m_newerRevisionSince = {};
+        return;
+    }
+    if (m_newerRevisionSince == TimePoint {})
+        m_newerRevisionSince = now;
+    if (m_storeLost || !m_state.configuration || now - m_newerRevisionSince >= storeReadAllowance)
         fetchConfiguration(sender);
 }
 
@@ -219,6 +327,7 @@
 
 void PeerExchange::sendOpenPlacements(const std::string &peer)
 {
+    const std::vector<Endpoint> endpoints = resolve({ peer });
     nlohmann::json events = nlohmann::json::array();
     for (const LoadLedger::OpenPlacement &open :
          m_state.ledger.openPlacements(m_state.settings.name)) {
@@ -227,11 +336,11 @@
             events.push_back({ promptPrefilledEvent, open.key.number });
         if (events.size() < eventFlushThreshold)
             continue;
-        sendTo(peer, encodeDatagram(events));
+        sendTo(endpoints, makeDatagram(std::move(events)));
         events = nlohmann::json::array();
     }
     if (!events.empty())
-        sendTo(peer, encodeDatagram(events));
+        sendTo(endpoints, makeDatagram(std::move(events)));
 }
 
 nlohmann::json PeerExchange::encodePlacedEvent(const PlacementKey &key,
@@ -254,32 +363,45 @@
 
 void PeerExchange::placed(const PlacementKey &key, const Placement &placement)
 {
-    enqueue(encodePlacedEvent(key, placement));
+    if (m_directory.groupsAreZones()) {
+        std::set<std::string> zones = otherZones(placement);
+        if (!zones.empty())
+            m_otherZonesByPlacement[key.number] = std::move(zones);
+    }
+    enqueue(key.number, encodePlacedEvent(key, placement));
 }
 
 void PeerExchange::promptPrefilled(const PlacementKey &key)
 {
-    enqueue({ promptPrefilledEvent, key.number });
+    enqueue(key.number, { promptPrefilledEvent, key.number });
 }
 
 void PeerExchange::placementEnded(const PlacementKey &key)
 {
-    enqueue({ endedEvent, key.number });
+    enqueue(key.number, { endedEvent, key.number });
+    m_otherZonesByPlacement.erase(key.number);
 }
 
-bool PeerExchange::hasReadyPeer(TimePoint now) const
+std::set<std::string> PeerExchange::otherZones(const Placement &placement) const
 {
-    // Tolerates the loss of one heartbeat.
-    return std::any_of(m_peerStates.begin(), m_peerStates.end(), [now](const auto &entry) {
-        return entry.second.ready
-                && now - entry.second.lastMessageAt <= 2 * heartbeatInterval + flushInterval;
-    });
+    std::set<std::string> zones;
+    for (const PlacedPart &part : placement.parts) {
+        const UpstreamRecord *record = m_state.upstreams.find(part.upstream);
+        if (record != nullptr && record->availabilityZone != m_state.settings.availabilityZone)
+            zones.insert(record->availabilityZone);
+    }
+    return zones;
 }
 
-void PeerExchange::enqueue(nlohmann::json event)
+void PeerExchange::enqueue(std::uint64_t placementNumber, const nlohmann::json &event)
 {
     const bool urgent = event.at(0) == placedEvent;
-    m_pendingEvents.push_back(std::move(event));
+    m_pendingEvents.push_back(event);
+    const auto zones = m_otherZonesByPlacement.find(placementNumber);
+    if (zones != m_otherZonesByPlacement.end()) {
+        for (const std::string &zone : zones->second)
+            m_pendingEventsByZone[zone].push_back(event);
+    }
     if ((!urgent && m_pendingEvents.size() < eventFlushThreshold) || m_flushPosted)
         return;
     m_flushPosted = true;
@@ -289,10 +411,27 @@
     });
 }
 
+void PeerExchange::sendChanges(const UpstreamChangeSet &changes)
+{
+    if (!isReader())
+        return;
+    const TimePoint now = m_state.clock.now();
+    std::int64_t previousChange = changes.previousChange;
+    for (std::size_t start = 0; start < changes.entries.size(); start += changesPerDatagram) {
+        const std::size_t end = std::min(start + changesPerDatagram, changes.entries.size());
+        nlohmann::json datagram = makeDatagram(nlohmann::json::array());
+        datagram["previous_change"] = previousChange;
+        datagram["removal_delay_ms"] = toMilliseconds(m_state.upstreams.removalDelay(now));
+        for (std::size_t index = start; index < end; ++index)
+            datagram["changes"].push_back(encodeChange(changes.entries[index]));
+        previousChange = changes.entries[end - 1].revision;
+        sendTo(m_group, datagram);
+    }
+}
+
 void PeerExchange::stateChanged()
 {
-    m_nextHeartbeatAt = {};
-    flush(m_state.clock.now());
+    sendHeartbeat(m_state.clock.now());
 }
 
 void PeerExchange::sweep(TimePoint now)
@@ -302,42 +441,63 @@
         if (m_configurationFetch->isDone())
             m_configurationFetch.reset();
     }
-    if (!m_pendingEvents.empty() || now >= m_nextHeartbeatAt)
+    if (now >= m_nextGroupUpdateAt)
+        updateGroup(now);
+    if (!m_pendingEvents.empty())
         flush(now);
+    if (now >= m_nextHeartbeatAt)
+        sendHeartbeat(now);
 }
 
 void PeerExchange::flush(TimePoint now)
 {
-    if (!m_socket.is_open())
+    if (!m_socket.is_open() || m_pendingEvents.empty())
         return;
-    m_nextHeartbeatAt = now + heartbeatInterval;
-    const std::string bytes = encodeDatagram(m_pendingEvents);
+    sendTo(m_group, makeDatagram(std::move(m_pendingEvents)));
     m_pendingEvents = nlohmann::json::array();
-    for (const std::string &peer : m_peerAddresses)
-        sendTo(peer, bytes);
+    for (auto &[zone, events] : m_pendingEventsByZone)
+        sendTo(resolve(m_directory.zoneAddresses(zone, now)), makeDatagram(std::move(events)));
+    m_pendingEventsByZone.clear();
+    // Events show that this gateway is alive, but they carry no report of the store.
+    if (!isReader())
+        m_nextHeartbeatAt = now + heartbeatInterval;
+}
+
+void PeerExchange::sendHeartbeat(TimePoint now)
+{
+    if (!m_socket.is_open())
+        return;
+    m_nextHeartbeatAt = now + (isReader() ? readerHeartbeatInterval : heartbeatInterval);
+    nlohmann::json datagram = makeDatagram(nlohmann::json::array());
+    if (isReader()) {
+        const ControlPlaneReport report = m_source.report(now);
+        datagram["store"] = { { "configuration", encodeReport(report.configuration) },
+                              { "upstreams", encodeReport(report.upstreams) } };
+    }
+    sendTo(m_group, datagram);
+    sendTo(resolve(m_directory.takeDueProbes(now)), datagram);
 }
 
-std::string PeerExchange::encodeDatagram(const nlohmann::json &events) const
+nlohmann::json PeerExchange::makeDatagram(nlohmann::json events) const
 {
-    return nlohmann::json {
-        { "gateway", m_state.settings.name },
-        { "incarnation", m_ownIncarnation },
-        { "revision", m_state.configurationRevision },
-        { "ready", m_state.isReady() },
-        { "events", events }
-    }.dump();
+    return { { "gateway", m_state.settings.name },
+             { "incarnation", m_ownIncarnation },
+             { "zone", m_state.settings.availabilityZone },
+             { "revision", m_state.configurationRevision },
+             { "ready", m_state.isReady() },
+             { "events", std::move(events) } };
 }
 
-void PeerExchange::sendTo(const std::string &peer, const std::string &bytes)
+void PeerExchange::sendTo(const std::vector<Endpoint> &endpoints, const nlohmann::json &datagram)
 {
-    try {
-        const asio::ip::tcp::endpoint address = parseEndpoint(peer);
+    if (endpoints.empty())
+        return;
+    const std::string bytes = datagram.dump();
+    for (const Endpoint &endpoint : endpoints) {
         asio::error_code error;
-        m_socket.send_to(asio::buffer(bytes), { address.address(), address.port() }, 0, error);
-        if (error)
-            m_state.metrics.increment("lavenderpick_datagrams_unsent_total");
-    } catch (const Error &error) {
-        log(LogLevel::Warning, "peers", error.what());
+        m_socket.send_to(asio::buffer(bytes), endpoint, 0, error);
+        m_state.metrics.increment(error ? "lavenderpick_datagrams_unsent_total"
+                                        : "lavenderpick_datagrams_sent_total");
     }
 }
 
--- a/Services/Gateway/PeerExchange.h
+++ b/Services/Gateway/PeerExchange.h
@@ -12,11 +12,11 @@
 
 namespace Lavenderpick {
 
-/// Sends this gateway's placements and configuration revision to its peers by UDP, applies theirs,
-/// and fetches a newer configuration from a peer over HTTP.
+/// Sends this gateway's placements and what it read from the store to its peers by UDP, applies
+/// theirs, and fetches a newer configuration from a peer over HTTP while the store is away.
 ///
-/// Lost datagrams are tolerated: a placement expires by itself, and the revision is sent again
-/// every `heartbeatInterval`.
+/// Lost datagrams are tolerated: a placement expires by itself, and reports are sent again with
+/// every heartbeat.
 class PeerExchange : public PlacementObserver
 {
 public:
@@ -24,28 +24,35 @@
     /// don't wait for it.
     static constexpr Duration flushInterval { Milliseconds(50) };
     static constexpr Duration heartbeatInterval { Milliseconds(500) };
+    /// Of a gateway that reads the store for its peers.
+    static constexpr Duration readerHeartbeatInterval { Milliseconds(250) };
 
     /// Receives the configuration of a peer and the upstreams that the peer knows.
     using ServingStateHandler =
             std::function<void(const ConfigurationSnapshot &, const std::vector<UpstreamRecord> &)>;
 
-    explicit PeerExchange(GatewayState &state);
+    PeerExchange(GatewayState &state, ControlPlaneSource &source);
     ~PeerExchange() override;
 
     void start(ServingStateHandler handler);
 
-    /// Replaces all peer addresses by those that the store lists and the seeds.
-    void setMembers(const std::vector<std::string> &addresses);
+    /// Replaces the registered gateways; the seeds stay known.
+    void setRegistered(const std::vector<GatewayRecord> &gateways);
+
+    /// Whether each availability zone has enough engines for the requests of its own gateways.
+    void setZonesServeThemselves(bool serve);
+
+    /// Sends changes that this gateway read from the store to the peers that rely on it.
+    void sendChanges(const UpstreamChangeSet &changes);
 
     /// Sends a heartbeat now. Called when the revision changes, and when this gateway becomes ready
     /// or begins to stop.
     void stateChanged();
 
-    /// Whether a peer that sent a datagram recently is ready for callers.
-    bool hasReadyPeer(TimePoint now) const;
+    /// Whether the store can't be reached; peers then supply the configuration.
+    void setStoreLost(bool lost) { m_storeLost = lost; }
 
-    /// Number of known gateways, including this one.
-    std::size_t gatewayCount() const { return m_peerAddresses.size() + 1; }
+    const PeerDirectory &directory() const { return m_directory; }
 
     void sweep(TimePoint now);
 
@@ -55,37 +62,45 @@
 
 private:
     class ConfigurationFetch;
+    using Endpoint = asio::ip::udp::endpoint;
 
-    /// What a peer's last datagram said of the peer.
-    struct PeerState
-    {
-        std::string incarnation;
-        bool ready { false };
-        TimePoint lastMessageAt {};
-    };
-
-    void addPeer(const std::string &address);
     void addSeeds();
+    void updateGroup(TimePoint now);
+    bool isReader() const { return m_role == FeedRole::Reader; }
+    std::vector<Endpoint> resolve(const std::vector<std::string> &addresses);
     void receive();
     void handleMessage(const nlohmann::json &message, const std::string &sender);
+    void handleRevision(std::int64_t revision, const std::string &sender, TimePoint now);
+    void handleChanges(const nlohmann::json &message, TimePoint now);
     void applyEvent(const std::string &gateway, const nlohmann::json &event);
-    void enqueue(nlohmann::json event);
+    std::set<std::string> otherZones(const Placement &placement) const;
+    void enqueue(std::uint64_t placementNumber, const nlohmann::json &event);
     void flush(TimePoint now);
+    void sendHeartbeat(TimePoint now);
     void sendOpenPlacements(const std::string &peer);
     nlohmann::json encodePlacedEvent(const PlacementKey &key, const Placement &placement) const;
-    std::string encodeDatagram(const nlohmann::json &events) const;
-    void sendTo(const std::string &peer, const std::string &bytes);
+    nlohmann::json makeDatagram(nlohmann::json events) const;
+    void sendTo(const std::vector<Endpoint> &endpoints, const nlohmann::json &datagram);
     void fetchConfiguration(const std::string &address);
 
     GatewayState &m_state;
+    ControlPlaneSource &m_source;
     asio::ip::udp::socket m_socket;
-    asio::ip::udp::endpoint m_senderEndpoint;
+    Endpoint m_senderEndpoint;
     std::vector<char> m_receiveBuffer;
-    std::set<std::string> m_peerAddresses;         ///< Excludes this gateway's own.
-    std::map<std::string, PeerState> m_peerStates; ///< By gateway name.
+    PeerDirectory m_directory;
+    std::map<std::string, Endpoint> m_endpoints; ///< By address; parsed once.
+    std::vector<Endpoint> m_group;               ///< Receives this gateway's events.
     std::string m_ownIncarnation;
     nlohmann::json m_pendingEvents;
+    /// Events for the gateways of other zones, at whose engines this gateway placed requests.
+    std::map<std::string, nlohmann::json> m_pendingEventsByZone;
+    std::map<std::uint64_t, std::set<std::string>> m_otherZonesByPlacement;
     TimePoint m_nextHeartbeatAt {};
+    TimePoint m_nextGroupUpdateAt {};
+    TimePoint m_newerRevisionSince {}; ///< Since when a peer has a newer configuration.
+    FeedRole m_role { FeedRole::Alone };
+    bool m_storeLost { false };
     bool m_flushPosted { false };
     ServingStateHandler m_servingStateHandler;
     std::shared_ptr<ConfigurationFetch> m_configurationFetch;
--- a/Tests/LibForward/TestUpstreamDirectory.cpp
+++ b/Tests/LibForward/TestUpstreamDirectory.cpp
@@ -72,4 +72,29 @@
     BOOST_CHECK_EQUAL(directory.ready("s").size(), 2);
 }
 
+// A gateway that relies on peers may not have noticed that the store was away.
+BOOST_AUTO_TEST_CASE(aPeersRemovalDelayKeepsExpiredEntries)
+{
+    UpstreamDirectory directory;
+    directory.put(upstream("a"));
+    directory.put(upstream("b", UpstreamState::Leaving));
+    directory.extendRemovalDelay(Milliseconds(1'500), start);
+    BOOST_CHECK(directory.removalDelay(start) == Milliseconds(1'500));
+    directory.remove("a", start);
+    directory.remove("b", start);
+    BOOST_CHECK_EQUAL(directory.size(), 1);
+    BOOST_CHECK(directory.expire(start + Milliseconds(1'400)).empty());
+    BOOST_CHECK(directory.expire(start + Milliseconds(1'500)) == std::vector<std::string> { "a" });
+}
+
+BOOST_AUTO_TEST_CASE(aPeerCannotDelayRemovalsForLong)
+{
+    UpstreamDirectory directory;
+    directory.extendRemovalDelay(Seconds(3'600), start);
+    BOOST_CHECK(directory.removalDelay(start) == UpstreamDirectory::recoveryGracePeriod);
+    directory.storeLost();
+    BOOST_CHECK(directory.removalDelay(start + Seconds(10))
+                == UpstreamDirectory::recoveryGracePeriod);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibForward/TestUpstreamSubset.cpp
+++ b/Tests/LibForward/TestUpstreamSubset.cpp
@@ -89,6 +89,29 @@
     BOOST_CHECK_LE(most->second, 4 * 330 * static_cast<int>(UpstreamSubset::maximumSize) / 4'800);
 }
 
+BOOST_AUTO_TEST_CASE(ownZoneOnlyKeepsToTheZone)
+{
+    UpstreamSubset subset("g", "b");
+    BOOST_REQUIRE_EQUAL(subset.select(directory, "s").size(), UpstreamSubset::maximumSize);
+    subset.setOwnZoneOnly(true);
+    const auto &selection = subset.select(directory, "s");
+    BOOST_CHECK_EQUAL(selection.size(), UpstreamSubset::maximumSize);
+    for (const UpstreamRecord *record : selection)
+        BOOST_CHECK_EQUAL(record->availabilityZone, "b");
+    // A zone without upstreams uses those of others.
+    UpstreamSubset elsewhere("g", "d");
+    elsewhere.setOwnZoneOnly(true);
+    BOOST_CHECK_EQUAL(elsewhere.select(directory, "s").size(), UpstreamSubset::maximumSize);
+}
+
+BOOST_AUTO_TEST_CASE(ownZoneOnlyUsesAllUpstreamsOfASmallerZone)
+{
+    Fixture some(120);
+    UpstreamSubset subset("g", "b");
+    subset.setOwnZoneOnly(true);
+    BOOST_CHECK_EQUAL(subset.select(some.directory, "s").size(), 40);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace Lavenderpick
--- a/include/lavenderpick/Forward/ControlPlaneSource.h
+++ b/include/lavenderpick/Forward/ControlPlaneSource.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "lavenderpick/Forward/FeedSchedule.h"
+#include "lavenderpick/Forward/PeerDirectory.h"
 #include "lavenderpick/Forward/ServingConfiguration.h"
 #include "lavenderpick/Forward/UpstreamDirectory.h"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +31,32 @@
     bool operator==(const UpstreamChange &) const = default;
 };
 
+/// Changes to the listed upstreams that directly follow each other, in the store's order.
+struct UpstreamChangeSet
+{
+    struct Entry
+    {
+        std::int64_t revision { 0 };
+        UpstreamChange change;
+
+        bool operator==(const Entry &) const = default;
+    };
+
+    std::int64_t previousChange { 0 }; ///< Revision of the change before the first entry.
+    std::vector<Entry> entries;
+
+    bool operator==(const UpstreamChangeSet &) const = default;
+};
+
+/// What a gateway read from the store, reported to its peers.
+struct ControlPlaneReport
+{
+    FeedReport configuration;
+    FeedReport upstreams;
+
+    bool operator==(const ControlPlaneReport &) const = default;
+};
+
 /// Receives the updates of a `ControlPlaneSource`.
 class ControlPlaneObserver
 {
@@ -38,8 +67,12 @@
     virtual void upstreamsListed(const std::vector<UpstreamRecord> &records) = 0;
     virtual void upstreamChanged(const UpstreamChange &change) = 0;
 
-    /// Reports the addresses (`host:port`) of all registered gateways.
-    virtual void membersListed(const std::vector<std::string> &addresses) = 0;
+    /// Reports changes that this gateway read from the store, after each was applied by
+    /// `upstreamChanged`.
+    virtual void upstreamChangesRead(const UpstreamChangeSet &changes) = 0;
+
+    /// Reports all registered gateways.
+    virtual void gatewaysListed(const std::vector<GatewayRecord> &gateways) = 0;
 
     virtual void storeLost(const std::string &reason) = 0;
     virtual void storeRegained() = 0;
@@ -51,9 +84,21 @@
 public:
     virtual ~ControlPlaneSource() = default;
 
-    /// Starts watching the store; calls `observer` from the event loop. `memberAddress` is the
-    /// address at which peers reach this gateway.
-    virtual void start(ControlPlaneObserver &observer, const std::string &memberAddress) = 0;
+    /// Starts watching the store; calls `observer` from the event loop. Registers `self`, by which
+    /// peers find this gateway.
+    virtual void start(ControlPlaneObserver &observer, const GatewayRecord &self) = 0;
+
+    /// How this gateway's reads of the store serve its peers.
+    virtual void setRole(FeedRole role) = 0;
+
+    /// What this gateway last read from the store itself.
+    virtual ControlPlaneReport report(TimePoint now) const = 0;
+
+    /// Compares a peer's report with what is known here; reads the store if changes are missing.
+    virtual void peerReported(const ControlPlaneReport &report, TimePoint now) = 0;
+
+    /// Applies the changes that a peer read, if none before them is missing.
+    virtual void peerReadChanges(const UpstreamChangeSet &changes, TimePoint now) = 0;
 
     /// Detects connections that have gone silent. Called several times a second.
     virtual void checkTimeouts(TimePoint now) = 0;
--- a/include/lavenderpick/Forward/UpstreamDirectory.h
+++ b/include/lavenderpick/Forward/UpstreamDirectory.h
@@ -59,6 +59,12 @@
     void storeLost();
     void storeRegained(TimePoint now);
 
+    /// How much longer removals are delayed because the store was unavailable.
+    Duration removalDelay(TimePoint now) const;
+
+    /// Delays removals for at least this long; a peer noticed that the store was unavailable.
+    void extendRemovalDelay(Duration delay, TimePoint now);
+
     /// Carries out delayed removals once the grace period has ended; returns the removed ids.
     std::vector<std::string> expire(TimePoint now);
 
--- a/include/lavenderpick/Forward/UpstreamSubset.h
+++ b/include/lavenderpick/Forward/UpstreamSubset.h
@@ -27,6 +27,10 @@
         , m_availabilityZone(std::move(availabilityZone))
     { }
 
+    /// Whether to use only the upstreams of the gateway's own zone, where there are more than
+    /// `maximumSize` in all.
+    void setOwnZoneOnly(bool ownZoneOnly) { m_ownZoneOnly = ownZoneOnly; }
+
     /// The ready upstreams of the service that this gateway uses: all of them up to `maximumSize`.
     /// Valid until the directory changes.
     const std::vector<const UpstreamRecord *> &select(const UpstreamDirectory &directory,
@@ -36,6 +40,7 @@
     struct Selection
     {
         std::uint64_t generation { 0 };
+        bool ownZoneOnly { false };
         std::vector<const UpstreamRecord *> upstreams;
     };
 
@@ -44,6 +49,7 @@
 
     std::string m_gateway;
     std::string m_availabilityZone;
+    bool m_ownZoneOnly { false };
     std::map<std::string, Selection> m_selections; ///< By service.
 };
 
