Gateway: Share spare engines across zones, and tell callers to return after an outage

Cause 1: gateways place at the engines of their own zone, but callers are not spread evenly over zones. Change 1: the reader of each zone reports engines with free slots to the other zones twice a second (SpareEngines); a short prompt that would be late in its own zone may use them, and its placement is told to the engine's zone. Kept for short prompts only.

Change 2: returnTime tells them a third of their time left while neither the store nor a peer has answered. A play of uneven zones and one of an outage are among the tests; both fail without the change.

--- a/Libraries/LibForward/PeerDirectory.cpp
+++ b/Libraries/LibForward/PeerDirectory.cpp
@@ -101,6 +101,16 @@
     return addresses;
 }
 
+std::vector<std::string> PeerDirectory::otherZoneAddresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[address, peer] : m_peers) {
+        if (!peer.availabilityZone.empty() && peer.availabilityZone != m_ownZone)
+            addresses.push_back(address);
+    }
+    return addresses;
+}
+
 std::vector<std::string> PeerDirectory::takeDueProbes(TimePoint now)
 {
     std::vector<std::string> addresses;
--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -196,6 +196,12 @@
     return decision;
 }
 
+bool Placer::isShort(const EngineParameters &engine, const GenerationSize &size) const
+{
+    return size.promptTokens + size.maximumOutputTokens <= engine.kvCapacityTokens / 2
+            && prefillMs(engine, size.promptTokens, 1) < m_settings.minimumSplitMs;
+}
+
 PlacementDecision Placer::placeGeneration(const PlacementRequest &request,
                                           const EngineParameters &engine,
                                           const std::vector<const UpstreamRecord *> &upstreams,
@@ -204,9 +210,7 @@
     std::vector<Candidate> all = candidates(request, engine, upstreams, ledger, now);
     std::optional<PlacementDecision> best;
     constexpr std::array partCounts { 1, 2, 3, 4, 6, 8, 11, 14, 17 };
-    const std::int64_t needed = request.size.promptTokens + request.size.maximumOutputTokens;
-    const bool maySplit = needed > engine.kvCapacityTokens / 2
-            || prefillMs(engine, request.size.promptTokens, 1) >= m_settings.minimumSplitMs;
+    const bool maySplit = !isShort(engine, request.size);
     for (const int parts : partCounts) {
         if (static_cast<std::size_t>(parts) > all.size() || parts > m_settings.maximumParts
             || (parts > 1 && !maySplit))
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -88,7 +88,8 @@
 {
     m_state.metrics.increment("lavenderpick_requests_total");
     if (!m_configuration) {
-        refuse(503, RefusalReason::NotReady, "No configuration is known yet.", defaultRetryAfter);
+        refuse(503, RefusalReason::NotReady, "No configuration is known yet.",
+               returnTime(m_state.missingConfiguration(), callerTimeLeft(), m_state.random));
         return;
     }
     if (!findRoute())
@@ -118,13 +119,18 @@
     return false;
 }
 
+std::optional<Duration> Exchange::callerTimeLeft() const
+{
+    const auto milliseconds = parseInteger(m_head.headers.find(m_state.dialect.names().timeLeftMs));
+    if (!milliseconds || *milliseconds < 0)
+        return std::nullopt;
+    return Milliseconds(*milliseconds);
+}
+
 void Exchange::readDeadline()
 {
-    Duration timeout = m_route->timeout;
-    const std::string *timeLeftMs = m_head.headers.find(m_state.dialect.names().timeLeftMs);
-    if (const auto milliseconds = parseInteger(timeLeftMs); milliseconds && *milliseconds >= 0)
-        timeout = std::min<Duration>(timeout, Milliseconds(*milliseconds));
-    m_deadline = m_arrivedAt + timeout;
+    const Duration timeout = m_route->timeout;
+    m_deadline = m_arrivedAt + std::min(timeout, callerTimeLeft().value_or(timeout));
 }
 
 std::string Exchange::chooseService() const
@@ -198,9 +204,30 @@
     const auto &subset = m_state.subset.select(m_state.upstreams, m_service);
     PlacementDecision decision = choosePlacementAmong(subset, request);
     const auto &all = m_state.upstreams.ready(m_service);
-    if (!decision.isPlaced() && subset.size() < all.size())
-        decision = choosePlacementAmong(all, request);
-    return decision;
+    if (subset.size() == all.size() || isOnTimeAndHarmless(decision, request))
+        return decision;
+    std::vector<const UpstreamRecord *> wider =
+            m_state.spareEngines.usable(m_state.upstreams, m_service, m_state.clock.now());
+    // A split prompt would delay streams at many engines whose load is hardly known here.
+    if (!wider.empty() && decision.helpers.empty() && isShortPrompt()) {
+        wider.insert(wider.end(), subset.begin(), subset.end());
+        decision = choosePlacementAmong(wider, request);
+    }
+    return decision.isPlaced() ? decision : choosePlacementAmong(all, request);
+}
+
+bool Exchange::isShortPrompt() const
+{
+    const ServiceProfile *profile = m_configuration->findService(m_service);
+    return profile != nullptr && profile->engine && m_size
+            && m_state.placer.isShort(*profile->engine, *m_size);
+}
+
+bool Exchange::isOnTimeAndHarmless(const PlacementDecision &decision,
+                                   const PlacementRequest &request)
+{
+    return decision.isPlaced() && decision.interferenceCost <= 0
+            && fromMilliseconds(decision.predictedFirstEventMs) <= request.objectiveLeft;
 }
 
 PlacementDecision
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -40,6 +40,8 @@
 
 private:
     bool findRoute();
+    /// How long the caller said it waits.
+    std::optional<Duration> callerTimeLeft() const;
     void readDeadline();
     void dispatch();
     std::string chooseService() const;
@@ -50,6 +52,9 @@
     void refuseUnplaced();
     void place();
     PlacementDecision choosePlacement(const PlacementRequest &request) const;
+    bool isShortPrompt() const;
+    static bool isOnTimeAndHarmless(const PlacementDecision &decision,
+                                    const PlacementRequest &request);
     PlacementDecision choosePlacementAmong(const std::vector<const UpstreamRecord *> &upstreams,
                                            const PlacementRequest &request) const;
     int priority() const;
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -101,6 +101,7 @@
     const std::size_t gatewayCount = m_peerExchange.directory().gatewayCount();
     m_state.retryBudget.setGatewayCount(gatewayCount);
     m_state.pool.setGatewayCount(gatewayCount);
+    m_state.peerIsReady = m_peerExchange.directory().hasReadyPeer(now);
     updateZoneLocality();
     for (const std::string &id : m_state.upstreams.expire(now))
         forgetUpstream(id);
@@ -119,8 +120,7 @@
 
 void GatewayProcess::continueStop(TimePoint now)
 {
-    const bool acceptsConnections =
-            m_state.stop.acceptsConnections(now, m_peerExchange.directory().hasReadyPeer(now));
+    const bool acceptsConnections = m_state.stop.acceptsConnections(now, m_state.peerIsReady);
     if (acceptsConnections != m_acceptor.is_open()) {
         log(LogLevel::Info, "gateway",
             acceptsConnections ? "accepting again" : "no longer accepting",
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -33,8 +33,18 @@
     , stop(settings.stopGrace)
     , pool(contextToUse, clockToRead, ledger)
     , waiting(contextToUse)
+    , startedAt(clockToRead.now())
 { }
 
+MissingConfiguration GatewayState::missingConfiguration() const
+{
+    // A reachable store answers within this time.
+    constexpr Duration loadingLimit { Milliseconds(150) };
+    return peerIsReady || clock.now() - startedAt < loadingLimit
+            ? MissingConfiguration::Loading
+            : MissingConfiguration::Unreachable;
+}
+
 std::size_t GatewayState::maximumBufferedBytes() const
 {
     constexpr std::int64_t bodyMemoryDivisor = 3; // Buffers may temporarily double in size.
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -9,6 +9,8 @@
 #include "lavenderpick/Forward/LoadLedger.h"
 #include "lavenderpick/Forward/Placer.h"
 #include "lavenderpick/Forward/RequestDialect.h"
+#include "lavenderpick/Forward/ReturnTime.h"
+#include "lavenderpick/Forward/SpareEngines.h"
 #include "lavenderpick/Forward/StalledStreamDetector.h"
 #include "lavenderpick/Forward/UpstreamDirectory.h"
 #include "lavenderpick/Forward/UpstreamSubset.h"
@@ -46,6 +48,7 @@
     std::int64_t configurationRevision { 0 };
     UpstreamDirectory upstreams;
     UpstreamSubset subset;
+    SpareEngines spareEngines;
     LoadLedger ledger;
     Placer placer;
     WindowedRetryBudget retryBudget;
@@ -62,10 +65,15 @@
     std::size_t openRequests { 0 };
     std::size_t bufferedBytes { 0 }; ///< Request bodies held by all connections.
     bool hasUpstreamList { false };  ///< A complete list has been received.
+    bool peerIsReady { false };      ///< Another gateway accepts callers.
+    TimePoint startedAt;
 
     /// Whether the load balancer may send callers to this gateway.
     bool isReady() const { return !stop.isStopping() && configuration && hasUpstreamList; }
 
+    /// Why `configuration` is null.
+    MissingConfiguration missingConfiguration() const;
+
     /// Upper limit of `bufferedBytes`.
     std::size_t maximumBufferedBytes() const;
 
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -263,6 +263,10 @@
     if (message.contains("removal_delay_ms"))
         m_state.upstreams.extendRemovalDelay(
                 Milliseconds(message.at("removal_delay_ms").get<std::int64_t>()), now);
+    if (message.contains("spare_engines"))
+        m_state.spareEngines.record(message.at("zone").get<std::string>(),
+                                    message.at("spare_engines").get<std::vector<std::string>>(),
+                                    now);
     if (message.contains("changes")) {
         UpstreamChangeSet changes { .previousChange =
                                             message.at("previous_change").get<std::int64_t>() };
@@ -447,6 +451,25 @@
         flush(now);
     if (now >= m_nextHeartbeatAt)
         sendHeartbeat(now);
+    if (isReader() && m_directory.groupsAreZones() && now >= m_nextSpareReportAt)
+        reportSpareEngines(now);
+}
+
+void PeerExchange::reportSpareEngines(TimePoint now)
+{
+    m_nextSpareReportAt = now + SpareEngines::reportInterval;
+    std::vector<const UpstreamRecord *> engines;
+    for (const ServiceProfile &service : m_state.configuration->services()) {
+        if (!service.engine)
+            continue;
+        for (const UpstreamRecord *record : m_state.upstreams.ready(service.name)) {
+            if (record->availabilityZone == m_state.settings.availabilityZone)
+                engines.push_back(record);
+        }
+    }
+    nlohmann::json datagram = makeDatagram(nlohmann::json::array());
+    datagram["spare_engines"] = SpareEngines::choose(engines, m_state.ledger, now);
+    sendTo(resolve(m_directory.otherZoneAddresses()), datagram);
 }
 
 void PeerExchange::flush(TimePoint now)
--- a/Services/Gateway/PeerExchange.h
+++ b/Services/Gateway/PeerExchange.h
@@ -77,6 +77,7 @@
     void enqueue(std::uint64_t placementNumber, const nlohmann::json &event);
     void flush(TimePoint now);
     void sendHeartbeat(TimePoint now);
+    void reportSpareEngines(TimePoint now);
     void sendOpenPlacements(const std::string &peer);
     nlohmann::json encodePlacedEvent(const PlacementKey &key, const Placement &placement) const;
     nlohmann::json makeDatagram(nlohmann::json events) const;
@@ -98,6 +99,7 @@
     std::map<std::uint64_t, std::set<std::string>> m_otherZonesByPlacement;
     TimePoint m_nextHeartbeatAt {};
     TimePoint m_nextGroupUpdateAt {};
+    TimePoint m_nextSpareReportAt {};
     TimePoint m_newerRevisionSince {}; ///< Since when a peer has a newer configuration.
     FeedRole m_role { FeedRole::Alone };
     bool m_storeLost { false };
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -267,6 +267,54 @@
     BOOST_CHECK_EQUAL(upstream.received().back().header("Urgency"), "1");
 }
 
+// No gateway has a configuration and the store is away; a caller that returns at once is refused
+// again.
+BOOST_AUTO_TEST_CASE(callersReturnLateWhileNoConfigurationCanBeRead)
+{
+    state.configuration.reset();
+    const auto early = sendAndWait("/safe/", "r1", "Time-Left-Ms: 9000\r\n");
+    BOOST_CHECK_EQUAL(early->status, 503);
+    BOOST_CHECK_EQUAL(early->header("Retry-After"), "0.30");
+    advance(Seconds(1));
+    const auto later = sendAndWait("/safe/", "r2", "Time-Left-Ms: 9000\r\n");
+    BOOST_CHECK_EQUAL(later->status, 503);
+    const double seconds = std::stod(later->header("Retry-After"));
+    BOOST_CHECK_GE(seconds, 2.5);
+    BOOST_CHECK_LE(seconds, 3.0);
+    state.peerIsReady = true;
+    const auto beside = sendAndWait("/safe/", "r3", "Time-Left-Ms: 9000\r\n");
+    BOOST_CHECK_EQUAL(beside->header("Retry-After"), "0.30");
+}
+
+BOOST_AUTO_TEST_CASE(shortPromptsUseSpareEnginesOfOtherZones)
+{
+    const auto &own = addUpstream("own", respondWith("x"), "engines");
+    for (std::size_t number = 0; number < UpstreamSubset::maximumSize; ++number)
+        state.upstreams.put({ .id = "far-" + std::to_string(number),
+                              .service = "engines",
+                              .address = "127.0.0.1:1",
+                              .availabilityZone = "b",
+                              .capacity = 4 });
+    const auto &spare = addUpstream("spare", respondWith("x"), "engines");
+    UpstreamRecord spareRecord = *state.upstreams.find("spare");
+    spareRecord.availabilityZone = "b";
+    state.upstreams.put(spareRecord);
+    state.subset.setOwnZoneOnly(true);
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        const PlacementKey key { .gateway = "peer", .number = number };
+        state.ledger.begin(key,
+                           { .parts = { { .upstream = "own", .decodes = true } },
+                             .expires = clock.now() + Seconds(60) },
+                           clock.now());
+        state.ledger.markPrefilled(key, clock.now());
+    }
+    state.spareEngines.record("b", { "spare" }, clock.now());
+    const auto view = send("/stream/", "r1", "Tokens: 100,10\r\n", "x");
+    runUntil([&] { return !spare.received().empty(); });
+    BOOST_CHECK_EQUAL(spare.received().size(), 1);
+    BOOST_CHECK(own.received().empty());
+}
+
 BOOST_AUTO_TEST_CASE(connectionLimitOfAnUpstreamIsRespected)
 {
     ServingConfigurationParts parts = makeConfiguration();
--- a/include/lavenderpick/Forward/PeerDirectory.h
+++ b/include/lavenderpick/Forward/PeerDirectory.h
@@ -80,6 +80,9 @@
     /// The addresses of the gateways in a zone that get events, this one excluded.
     std::vector<std::string> zoneAddresses(const std::string &zone, TimePoint now) const;
 
+    /// The addresses of the gateways in all other zones.
+    std::vector<std::string> otherZoneAddresses() const;
+
     /// The addresses of silent gateways in the group that are due for a heartbeat; they count as
     /// sent.
     std::vector<std::string> takeDueProbes(TimePoint now);
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -115,6 +115,9 @@
                                       const std::vector<const UpstreamRecord *> &upstreams,
                                       const LoadLedger &ledger, TimePoint now) const;
 
+    /// Whether the prompt is never split and its prefill delays others by little.
+    bool isShort(const EngineParameters &engine, const GenerationSize &size) const;
+
     /// Places a call to a plain service at the upstream with the lowest utilization.
     PlacementDecision placeCall(const PlacementRequest &request,
                                 const std::vector<const UpstreamRecord *> &upstreams,
