Gateway: Bound responses of upstreams in trouble, and cut off nothing when a stop closes the listener

Faults that operators of similar systems met, each shown by a test that fails on the commit before: - Interim responses, responses to other requests, the body of a failure and that of a reservation could go on without end and held the connection and the engine's slot until the deadline: HttpConnection has limits in bytes and time; the store's and peers' responses too. - The body of a failure over 64 KiB reached the caller shortened, with the upstream's status and proof: 502 now, or a refusal where the head proves that nothing ran. - A late copy of a response without an id, on a connection in use again, counted as the next request's, also as proof that it had not run: it proves nothing on a connection that was used before. - Comments in a stream counted as events: a stalled stream with comments looked like one that makes progress, and its prompt as prefilled. - At a planned stop, connections that waited to be accepted were reset when the listener closed, and the process could exit with unread requests: the queue is accepted first, unread bytes and new connections count as busy. Looked for and not found (tests pass before and after): a copy between two requests, a copy with its id, an endless head, an endless success (cut at the deadline, visibly).

--- a/Libraries/LibForward/EventSplitter.cpp
+++ b/Libraries/LibForward/EventSplitter.cpp
@@ -44,6 +44,8 @@
             inEvent = false;
             continue;
         }
+        if (line.front() == ':')
+            continue; // A comment.
         inEvent = true;
         constexpr std::string_view idField = "id:";
         if (line.substr(0, idField.size()) != idField)
--- a/Services/Gateway/ByteStream.cpp
+++ b/Services/Gateway/ByteStream.cpp
@@ -174,6 +174,12 @@
         m_handler->outputDrained();
 }
 
+bool ByteStream::hasUnreadInput() const
+{
+    asio::error_code error;
+    return m_socket.available(error) > 0 && !error;
+}
+
 void ByteStream::close()
 {
     m_handler = nullptr;
--- a/Services/Gateway/ByteStream.h
+++ b/Services/Gateway/ByteStream.h
@@ -57,6 +57,9 @@
     /// the connection and lose the output.
     void closeAfterOutput();
 
+    /// Whether bytes have arrived that were not read yet.
+    bool hasUnreadInput() const;
+
     bool isOpen() const { return m_socket.is_open(); }
     asio::ip::tcp::socket &socket() { return m_socket; }
 
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -411,20 +411,23 @@
     if (!m_writer.hasBegun())
         m_responseHead = head;
     const HeaderNames &names = m_state.dialect.names();
-    const bool isSigned = head.headers.find(names.signature) != nullptr
-            && head.headers.find(names.requestId) != nullptr;
-    if (head.isSuccess() && !isSigned) {
-        const auto self = shared_from_this();
-        m_connection->abandon();
-        failAttempt(AttemptOutcome::Failed, "response_without_signature");
+    const bool hasRequestId = head.headers.find(names.requestId) != nullptr;
+    const auto self = shared_from_this();
+    if (!hasRequestId && !m_requestId.empty() && m_connection->isReused()) {
+        // It may be a late copy of an earlier response, so it proves nothing about this request.
+        failAttempt(AttemptOutcome::Failed, "response_without_id");
+        return;
     }
+    if (head.isSuccess() && (!hasRequestId || head.headers.find(names.signature) == nullptr))
+        failAttempt(AttemptOutcome::Failed, "response_without_signature");
 }
 
 void Exchange::bodyArrived(std::string_view bytes)
 {
     if (!m_attemptHead.isSuccess()) {
-        if (m_buffer.size() < maximumBufferedResponse)
-            m_buffer.append(bytes);
+        m_buffer.append(bytes);
+        if (m_buffer.size() > maximumBufferedResponse)
+            failOversizedFailure();
         return;
     }
     if (isStream()) {
@@ -443,8 +446,19 @@
     }
 }
 
+void Exchange::failOversizedFailure()
+{
+    // A shortened body must not reach the caller as the upstream's.
+    const auto self = shared_from_this();
+    const bool provesNotRun = m_state.dialect.provesNotRun(m_attemptHead);
+    m_state.outliers.recordFailure(m_decision.upstream, m_state.clock.now());
+    failAttempt(provesNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Failed,
+                "oversized_failure");
+}
+
 void Exchange::forwardEvents(std::string_view bytes)
 {
+    const std::size_t eventsBefore = m_events.eventCount();
     const std::string events = m_events.feed(bytes);
     if (m_events.partialBytes() > maximumEventBytes) {
         const auto self = shared_from_this();
@@ -453,6 +467,15 @@
     }
     if (events.empty())
         return;
+    if (m_events.eventCount() > eventsBefore)
+        recordProgress();
+    beginResponse();
+    writeBody(events);
+}
+
+// Comments are forwarded, but only events show that the engine works on the stream.
+void Exchange::recordProgress()
+{
     recordEventTimes();
     m_state.stalledStreams.recordEvent(m_decision.upstream, m_streamId, m_lastEventAt);
     if (!m_firstEventSeen) {
@@ -463,8 +486,6 @@
                                 inMilliseconds(m_state.clock.now() - m_attemptStartedAt)
                                         - m_decision.predictedFirstEventMs);
     }
-    beginResponse();
-    writeBody(events);
 }
 
 void Exchange::recordEventTimes()
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -71,7 +71,9 @@
     void responseEnded() override;
     void requestFailed(ConnectionFailure failure) override;
 
+    void failOversizedFailure();
     void forwardEvents(std::string_view bytes);
+    void recordProgress();
     void recordEventTimes();
     void beginResponse();
     void writeBody(std::string_view bytes);
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -75,13 +75,18 @@
             m_accepting = false;
             return;
         }
-        const auto connection = std::make_shared<InboundConnection>(m_state, std::move(socket));
-        m_connections.insert(connection);
-        connection->start();
+        addConnection(std::move(socket));
         accept();
     });
 }
 
+void GatewayProcess::addConnection(asio::ip::tcp::socket socket)
+{
+    const auto connection = std::make_shared<InboundConnection>(m_state, std::move(socket));
+    m_connections.insert(connection);
+    connection->start();
+}
+
 void GatewayProcess::scheduleSweep()
 {
     m_sweepTimer.expires_after(sweepInterval);
@@ -144,8 +149,19 @@
 
 void GatewayProcess::closeListener()
 {
-    asio::error_code ignored;
-    m_acceptor.close(ignored);
+    // Closing the listener would reset the connections that callers have established already.
+    asio::error_code error;
+    m_acceptor.cancel(error);
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            addConnection(std::move(socket));
+    }
+    if (error != asio::error::would_block)
+        log(LogLevel::Warning, "gateway", "accepting before the stop failed: " + error.message());
+    m_acceptor.close(error);
 }
 
 // Called during a stop when no peer is ready any more, because the last ready one stops as well.
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -28,6 +28,7 @@
 
 private:
     void accept();
+    void addConnection(asio::ip::tcp::socket socket);
     void scheduleSweep();
     void sweep();
     void waitForSignals();
--- a/Services/Gateway/HttpConnection.cpp
+++ b/Services/Gateway/HttpConnection.cpp
@@ -29,6 +29,8 @@
         return "bad_response";
     case ConnectionFailure::Silent:
         return "silent";
+    case ConnectionFailure::Endless:
+        return "endless";
     }
     return "unknown";
 }
@@ -59,6 +61,10 @@
     m_lastByteAt = m_startedAt;
     m_discardingResponse = false;
     m_interimResponse = false;
+    m_headDelivered = false;
+    m_bytesBeforeBody = 0;
+    m_bodyBytes = 0;
+    ++m_requests;
     m_parser.reset(toHeadRequest);
     if (m_state == State::New)
         connect();
@@ -126,7 +132,18 @@
             closeStream();
             return;
         }
-        bytes.remove_prefix(m_parser.feed(bytes));
+        const std::size_t taken = m_parser.feed(bytes);
+        bytes.remove_prefix(taken);
+        if (!m_headDelivered)
+            m_bytesBeforeBody += taken;
+        if (m_listener != nullptr && exceedsLimits()) {
+            log(LogLevel::Warning, "http", "a response exceeds its limits",
+                { { "address", m_address },
+                  { "bytes_before_body", m_bytesBeforeBody },
+                  { "body_bytes", m_bodyBytes } });
+            fail(ConnectionFailure::Endless);
+            return;
+        }
         if (m_parser.state() == HttpParser::State::Failed) {
             fail(ConnectionFailure::BadResponse);
             return;
@@ -136,6 +153,12 @@
     }
 }
 
+bool HttpConnection::exceedsLimits() const
+{
+    return m_bytesBeforeBody > m_limits.bytesBeforeBody
+            || (m_limits.bodyBytes > 0 && m_bodyBytes > m_limits.bodyBytes);
+}
+
 void HttpConnection::headParsed()
 {
     const ResponseHead &head = m_parser.response();
@@ -145,14 +168,18 @@
     m_keepAlive = head.keepAlive;
     parseIdleTimeout();
     m_discardingResponse = !m_listener->isExpected(head);
-    if (!m_discardingResponse)
-        m_listener->headArrived(head);
+    if (m_discardingResponse)
+        return;
+    m_headDelivered = true;
+    m_listener->headArrived(head);
 }
 
 void HttpConnection::bodyParsed(std::string_view bytes)
 {
-    if (m_listener != nullptr && !m_discardingResponse && !m_interimResponse)
-        m_listener->bodyArrived(bytes);
+    if (m_listener == nullptr || m_discardingResponse || m_interimResponse)
+        return;
+    m_bodyBytes += bytes.size();
+    m_listener->bodyArrived(bytes);
 }
 
 void HttpConnection::messageParsed() { }
@@ -241,6 +268,8 @@
         return;
     if (m_state == State::Connecting && now - m_startedAt >= connectTimeout)
         fail(ConnectionFailure::NotConnected);
+    else if (m_limits.totalTime > Duration {} && now - m_startedAt >= m_limits.totalTime)
+        fail(ConnectionFailure::Endless);
     else if (silenceTimeout > Duration {} && now - m_lastByteAt >= silenceTimeout)
         fail(ConnectionFailure::Silent);
 }
--- a/Services/Gateway/HttpConnection.h
+++ b/Services/Gateway/HttpConnection.h
@@ -3,6 +3,7 @@
 #include "Services/Gateway/ByteStream.h"
 #include "lavenderpick/Forward/HttpParser.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -15,6 +16,19 @@
     Closed,       ///< The peer closed or reset the connection before a response began.
     BadResponse,  ///< The response is malformed or truncated.
     Silent,       ///< No byte arrived within the silence timeout.
+    Endless,      ///< The response exceeds its limits in bytes or time.
+};
+
+/// Bounds of a response. A server in trouble may send bytes that are no answer without end.
+struct ResponseLimits
+{
+    /// Bytes that may precede the end of the response's head, in interim responses and in responses
+    /// to other requests too.
+    std::size_t bytesBeforeBody { 262'144 };
+    std::size_t bodyBytes { 0 }; ///< Zero for no limit.
+    Duration totalTime {};       ///< From the start of the request; zero for no limit.
+
+    bool operator==(const ResponseLimits &) const = default;
 };
 
 std::string_view toString(ConnectionFailure failure);
@@ -47,6 +61,9 @@
     HttpConnection(asio::io_context &context, const Clock &clock, std::string address);
     ~HttpConnection() override;
 
+    /// Applies to the following requests.
+    void setLimits(const ResponseLimits &limits) { m_limits = limits; }
+
     /// Sends a request, connecting first if necessary. `body` may be null. The listener must live
     /// until `responseEnded`, `requestFailed` or `abandon`.
     void send(std::string head, std::shared_ptr<const std::string> body, bool toHeadRequest,
@@ -67,6 +84,9 @@
     bool isBusy() const { return m_listener != nullptr; }
     bool isOpen() const { return m_state != State::Closed; }
     bool wasConnected() const { return m_wasConnected; }
+    /// Whether an earlier request was sent on this connection, so that a late copy of its response
+    /// may arrive.
+    bool isReused() const { return m_requests > 1; }
     const std::string &address() const { return m_address; }
 
 private:
@@ -81,6 +101,7 @@
     void connectFinished(const asio::error_code &error);
     void writeRequest();
     void finishResponse();
+    bool exceedsLimits() const;
     void fail(ConnectionFailure failure);
     void closeStream();
     void parseIdleTimeout();
@@ -103,6 +124,11 @@
     TimePoint m_lastByteAt {};
     TimePoint m_idleSince {};
     Duration m_idleTimeout;
+    ResponseLimits m_limits;
+    std::size_t m_bytesBeforeBody { 0 };
+    std::size_t m_bodyBytes { 0 };
+    std::uint64_t m_requests { 0 };
+    bool m_headDelivered { false };
     bool m_wasConnected { false };
     bool m_toHeadRequest { false };
     bool m_discardingResponse { false }; ///< The current response belongs to another request.
--- a/Services/Gateway/InboundConnection.cpp
+++ b/Services/Gateway/InboundConnection.cpp
@@ -12,6 +12,8 @@
 // Reading pauses when more bytes than this have arrived while a request is in progress. Further
 // bytes stay in the kernel's receive buffer.
 constexpr std::size_t maximumPipelinedBytes = 65'536;
+// A caller that has just connected sends its request within a few round trips.
+constexpr Duration firstRequestGrace { Milliseconds(500) };
 
 } // namespace
 
@@ -69,6 +71,7 @@
             reject(431, RefusalReason::BadRequest, "The head of the request is too large.");
         else if (m_requestComplete && !m_rejected) {
             m_requestComplete = false;
+            m_hasServed = true;
             m_state.bufferedBytes -= m_body.size(); // The exchange counts the body from here on.
             m_exchange = std::make_shared<Exchange>(m_state, *this, std::move(m_parser.request()),
                                                     std::move(m_body));
@@ -225,6 +228,13 @@
     m_open = false;
 }
 
+bool InboundConnection::isBusy() const
+{
+    if (m_exchange || !m_parser.isIdle() || m_stream->hasUnreadInput())
+        return true;
+    return !m_hasServed && m_state.clock.now() - m_idleSince < firstRequestGrace;
+}
+
 void InboundConnection::closeIfIdle()
 {
     if (!m_open || isBusy())
--- a/Services/Gateway/InboundConnection.h
+++ b/Services/Gateway/InboundConnection.h
@@ -23,11 +23,13 @@
     void start();
     void checkTimeouts(TimePoint now);
 
-    /// Closes the connection when no request is in progress.
+    /// Closes the connection unless it is busy.
     void closeIfIdle();
 
     bool isOpen() const { return m_open; }
-    bool isBusy() const { return m_exchange != nullptr || !m_parser.isIdle(); }
+
+    /// Whether a request is in progress or may have arrived.
+    bool isBusy() const;
 
     void writeResponse(std::string_view bytes) override;
     std::size_t pendingResponseBytes() const override { return m_stream->pendingOutput(); }
@@ -60,6 +62,7 @@
     std::string m_pipelinedInput; ///< Bytes received after the current request.
     TimePoint m_requestStartedAt {};
     TimePoint m_idleSince {};
+    bool m_hasServed { false }; ///< A request was read on this connection.
     bool m_rejected { false };
     bool m_requestComplete { false };
     bool m_parsing { false };
--- a/Services/Gateway/MemoryReserver.cpp
+++ b/Services/Gateway/MemoryReserver.cpp
@@ -10,6 +10,9 @@
 
 // A hop between zones takes milliseconds; a request can't wait longer for its reservations.
 constexpr Duration controlCallTimeout { Milliseconds(400) };
+constexpr ResponseLimits controlCallLimits { .bytesBeforeBody = 65'536,
+                                             .bodyBytes = 65'536,
+                                             .totalTime = Milliseconds(800) };
 
 } // namespace
 
@@ -28,6 +31,7 @@
     {
         m_self = self;
         m_connection = m_state.pool.acquire(m_upstream, address);
+        m_connection->setLimits(controlCallLimits);
         std::string head = call.method + " " + call.target + " HTTP/1.1\r\n";
         appendField("Host", address, head);
         appendField("Content-Type", "application/json", head);
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -17,6 +17,8 @@
 constexpr Duration fetchTimeout { Milliseconds(800) };
 // A change takes about 150 bytes; these fit in one packet.
 constexpr std::size_t changesPerDatagram = 8;
+// A configuration and the records of thousands of upstreams take a few megabytes.
+constexpr ResponseLimits fetchLimits { .bodyBytes = 16'777'216, .totalTime = Seconds(5) };
 constexpr Duration groupUpdateInterval { Milliseconds(200) };
 // A gateway reads a newer configuration from the store; from a peer only when that takes longer.
 constexpr Duration storeReadAllowance { Milliseconds(400) };
@@ -69,6 +71,7 @@
 
     void send()
     {
+        m_connection->setLimits(fetchLimits);
         std::string head = "GET /configuration HTTP/1.1\r\n";
         appendField("Host", m_address, head);
         appendField("Connection", "close", head);
--- a/Services/Gateway/UpstreamConnectionPool.cpp
+++ b/Services/Gateway/UpstreamConnectionPool.cpp
@@ -20,8 +20,10 @@
     while (found != m_idle.end() && !found->second.connections.empty()) {
         std::shared_ptr<HttpConnection> connection = std::move(found->second.connections.back());
         found->second.connections.pop_back();
-        if (connection->isReusable(m_clock.now()) && connection->address() == address)
+        if (connection->isReusable(m_clock.now()) && connection->address() == address) {
+            connection->setLimits({});
             return connection;
+        }
         connection->abandon();
     }
     return std::make_shared<HttpConnection>(m_context, m_clock, address);
--- a/Tests/Processes/GatewayTest.py
+++ b/Tests/Processes/GatewayTest.py
@@ -153,6 +153,29 @@
                 self.assertEqual(answer.status, 200)
         self.assertEqual(gateway.process.wait(8), 0)
 
+    def test_a_stop_answers_connections_that_wait_to_be_accepted(self):
+        # The process is paused while callers connect, and resumes when its listener is due to close.
+        gateway = self.start()
+        other = self.start("gateway-2", host="127.0.0.2", peer_port=gateway.peer_port, seeds=["127.0.0.1:1"])
+        wait_until(lambda: any("gateways" in line and line["gateways"] > 1 for line in other.lines())
+                   or time.sleep(0.5) is None, 3, "the gateways do not know each other")
+        gateway.process.send_signal(signal.SIGTERM)
+        time.sleep(2)
+        gateway.process.send_signal(signal.SIGSTOP)
+        host, port = gateway.callers.split(":")
+        callers = []
+        for number in range(20):
+            connection = socket.create_connection((host, int(port)), timeout=5)
+            connection.sendall(b"GET /lookup/ HTTP/1.1\r\nHost: h\r\nApi-Key: key-1\r\n"
+                               b"X-Attempt-Id: w%d\r\nX-Deadline-Ms: 5000\r\n\r\n" % number)
+            callers.append(connection)
+        time.sleep(1)
+        gateway.process.send_signal(signal.SIGCONT)
+        for connection in callers:
+            self.assertTrue(connection.recv(100).startswith(b"HTTP/1.1 "))
+            connection.close()
+        self.assertTrue(any(line["message"] == "no longer accepting" for line in gateway.lines()))
+
     def test_settings_are_read_again_on_a_hangup(self):
         gateway = self.start()
         gateway.process.send_signal(signal.SIGHUP)
--- /dev/null
+++ b/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
@@ -0,0 +1,211 @@
+#include "GatewayFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavenderpick;
+
+namespace {
+
+using Peer = std::shared_ptr<ScriptedConnection>;
+
+std::string chunk(const std::string &bytes)
+{
+    std::string out;
+    appendChunk(bytes, out);
+    return out;
+}
+
+/// Writes the same bytes again and again, until the caller closes the connection.
+class EndlessWriter : public std::enable_shared_from_this<EndlessWriter>
+{
+public:
+    EndlessWriter(asio::io_context &context, Peer peer, std::string bytes)
+        : m_context(context)
+        , m_peer(std::move(peer))
+        , m_bytes(std::move(bytes))
+    { }
+
+    void write()
+    {
+        if (!m_peer->isOpen())
+            return;
+        m_peer->write(m_bytes);
+        asio::post(m_context, [self = shared_from_this()] { self->write(); });
+    }
+
+private:
+    asio::io_context &m_context;
+    Peer m_peer;
+    std::string m_bytes;
+};
+
+struct Fixture : GatewayFixture
+{
+    /// Writes `start`, then `repeated` without end, for each request.
+    ScriptedUpstream::Script writeEndlessly(const std::string &start, const std::string &repeated)
+    {
+        return [this, start, repeated](const ReceivedRequest &, const Peer &peer) {
+            peer->write(start);
+            std::make_shared<EndlessWriter>(context, peer, repeated)->write();
+        };
+    }
+
+    /// The status that a caller gets from an upstream with the script while the clock stands still.
+    int statusFor(const ScriptedUpstream::Script &script)
+    {
+        addUpstream("u1", script);
+        return sendAndWait("/once/")->status;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamsInTroubleTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(endlessInterimResponsesEndTheAttempt)
+{
+    BOOST_CHECK_EQUAL(statusFor(writeEndlessly("", "HTTP/1.1 100 Continue\r\n\r\n")), 502);
+    BOOST_CHECK_EQUAL(state.ledger.size(), 0);
+}
+
+BOOST_AUTO_TEST_CASE(endlessHeadEndsTheAttempt)
+{
+    BOOST_CHECK_EQUAL(statusFor(writeEndlessly("HTTP/1.1 200 OK\r\n", "Field: value\r\n")), 502);
+}
+
+BOOST_AUTO_TEST_CASE(endlessBytesThatAreNoResponseEndTheAttempt)
+{
+    BOOST_CHECK_EQUAL(statusFor(writeEndlessly("", "\r\n\r\n\r\n\r\n")), 502);
+}
+
+BOOST_AUTO_TEST_CASE(endlessResponsesToOtherRequestsEndTheAttempt)
+{
+    BOOST_CHECK_EQUAL(statusFor(writeEndlessly("", makeResponse("other", std::string(500, 'x')))),
+                      502);
+}
+
+BOOST_AUTO_TEST_CASE(endlessBodyOfAFailureEndsTheAttempt)
+{
+    const std::string head = "HTTP/1.1 500 X\r\nRequest-Id: r1\r\nProof: p\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    BOOST_CHECK_EQUAL(statusFor(writeEndlessly(head, chunk(std::string(1'000, 'x')))), 502);
+}
+
+// The head alone proves that the request did not run.
+BOOST_AUTO_TEST_CASE(endlessBodyOfARefusalIsARefusal)
+{
+    const std::string head = "HTTP/1.1 503 X\r\nRequest-Id: r1\r\nNot-Run: 1\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    addUpstream("u1", writeEndlessly(head, chunk(std::string(1'000, 'x'))));
+    const auto response = sendAndWait("/once/");
+    BOOST_CHECK_EQUAL(response->status, 503);
+    BOOST_CHECK(!response->header("Retry-After").empty());
+}
+
+// A shortened body must not reach the caller as the upstream's whole one.
+BOOST_AUTO_TEST_CASE(longBodyOfAFailureIsNotShortened)
+{
+    const auto script = [](const ReceivedRequest &request, const Peer &peer) {
+        peer->write(makeResponse(request.header("Request-Id"), std::string(100'000, 'x'), 500));
+    };
+    BOOST_CHECK_EQUAL(statusFor(script), 502);
+}
+
+BOOST_AUTO_TEST_CASE(endlessSuccessIsCutAtTheDeadline)
+{
+    const std::string head = "HTTP/1.1 200 X\r\nRequest-Id: r1\r\nProof: p\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    addUpstream("u1", writeEndlessly(head, chunk(std::string(1'000, 'x'))));
+    const auto response = send("/once/");
+    BOOST_REQUIRE(runUntil([&] { return response->body.size() > 1'000'000; }));
+    advance(Seconds(2));
+    BOOST_REQUIRE(runUntil([&] { return response->isDone(); }));
+    BOOST_CHECK(response->failed);
+    BOOST_CHECK_EQUAL(state.ledger.size(), 0);
+}
+
+BOOST_AUTO_TEST_CASE(reservationWithAnEndlessResponseFails)
+{
+    int plainRequests = 0;
+    for (const char *id : { "u1", "u2", "u3" })
+        addUpstream(
+                id,
+                [&](const ReceivedRequest &request, const Peer &peer) {
+                    plainRequests += request.head.target == "/stream/" ? 1 : 0;
+                    if (!request.head.target.starts_with("/reserve/"))
+                        return;
+                    peer->write("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    std::make_shared<EndlessWriter>(context, peer, chunk(std::string(1'000, 'x')))
+                            ->write();
+                },
+                "engines");
+    const auto response = sendAndWait("/stream/", "r1", "Tokens: 15000,10\r\n", "x");
+    BOOST_CHECK_EQUAL(response->status, 503);
+    BOOST_CHECK_EQUAL(plainRequests, 0);
+}
+
+// The upstream sends a second copy of an answer, late, on a connection that is in use again.
+BOOST_AUTO_TEST_CASE(lateCopyOfAnAnswerReachesNoOtherCaller)
+{
+    const auto script = [](const ReceivedRequest &request, const Peer &peer) {
+        const std::string id = request.header("Request-Id");
+        const std::string copy = id == "r2" ? makeResponse("r1", "first") : "";
+        peer->write(copy + makeResponse(id, id == "r1" ? "first" : "second"));
+    };
+    const auto &upstream = addUpstream("u1", script);
+    BOOST_CHECK_EQUAL(sendAndWait("/once/", "r1")->body, "first");
+    BOOST_CHECK_EQUAL(sendAndWait("/once/", "r2")->body, "second");
+    BOOST_CHECK_EQUAL(upstream.connectionCount(), 1);
+}
+
+BOOST_AUTO_TEST_CASE(copyThatArrivesBetweenRequestsClosesTheConnection)
+{
+    Peer connection;
+    const auto script = [&](const ReceivedRequest &request, const Peer &peer) {
+        connection = peer;
+        peer->write(makeResponse(request.header("Request-Id"), "done"));
+    };
+    const auto &upstream = addUpstream("u1", script);
+    BOOST_CHECK_EQUAL(sendAndWait("/once/", "r1")->body, "done");
+    connection->write(makeResponse("r1", "done"));
+    runUntil([&] { return state.pool.idleCount("u1") == 0 || !connection->isOpen(); });
+    BOOST_CHECK_EQUAL(sendAndWait("/once/", "r2")->body, "done");
+    BOOST_CHECK_EQUAL(upstream.connectionCount(), 2);
+}
+
+// Without an id, a late copy that claims that nothing ran would be taken for the next request's.
+BOOST_AUTO_TEST_CASE(lateCopyWithoutAnIdProvesNothing)
+{
+    const auto script = [](const ReceivedRequest &request, const Peer &peer) {
+        const std::string id = request.header("Request-Id");
+        if (id == "r2")
+            peer->write("HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        peer->write(makeResponse(id, "done"));
+    };
+    addUpstream("u1", script);
+    BOOST_CHECK_EQUAL(sendAndWait("/once/", "r1")->status, 200);
+    BOOST_CHECK_EQUAL(sendAndWait("/once/", "r2")->status, 502);
+}
+
+// Comments keep a connection alive, but they are no sign that the engine works on the stream.
+BOOST_AUTO_TEST_CASE(commentsAreForwardedButAreNoProgress)
+{
+    Peer connection;
+    addUpstream(
+            "u1",
+            [&](const ReceivedRequest &request, const Peer &peer) {
+                connection = peer;
+                peer->write("HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("Request-Id")
+                            + "\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + chunk(": waiting\n\n"));
+            },
+            "engines");
+    const auto response = send("/stream/", "r1", "Tokens: 100,10\r\n", "x");
+    BOOST_REQUIRE(runUntil([&] { return !response->body.empty(); }));
+    BOOST_CHECK_EQUAL(response->body, ": waiting\n\n");
+    BOOST_CHECK_EQUAL(state.ledger.load("u1").decodingRequests(), 0);
+    connection->write(chunk("id: 1\ndata: x\n\n"));
+    BOOST_REQUIRE(runUntil([&] { return state.ledger.load("u1").decodingRequests() == 1; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
