PeerDirectory: Keep gateways that count differently in one group, and group by zone later

Gateways counted differently: those that grouped by zone told only their zone what they placed, while the others placed at all engines without hearing of it. Change: datagrams say whether their sender groups by zone; one that doesn't belongs to the groups of all zones. The common group holds up to 64 gateways, and a zone needs 32 engines of its own. Ruled out: the reader of the store (role changes were few) and spare engines (the same without them in common groups). The test of mixed groups fails without the change.

--- a/Libraries/LibForward/PeerDirectory.cpp
+++ b/Libraries/LibForward/PeerDirectory.cpp
@@ -56,6 +56,7 @@
     peer.incarnation = report.incarnation;
     peer.availabilityZone = report.availabilityZone;
     peer.ready = report.ready;
+    peer.groupsByZone = report.groupsByZone;
     peer.lastHeardAt = now;
     return isNew;
 }
@@ -67,7 +68,8 @@
 
 bool PeerDirectory::isInGroup(const Peer &peer) const
 {
-    return !groupsAreZones() || peer.availabilityZone.empty() || peer.availabilityZone == m_ownZone;
+    return !groupsAreZones() || peer.availabilityZone.empty() || peer.availabilityZone == m_ownZone
+            || !peer.groupsByZone;
 }
 
 bool PeerDirectory::isAlive(const Peer &peer, TimePoint now)
--- a/Libraries/LibForward/SpareEngines.cpp
+++ b/Libraries/LibForward/SpareEngines.cpp
@@ -19,6 +19,7 @@
     std::sort(spare.begin(), spare.end());
     spare.resize(std::min((spare.size() + 1) / 2, maximumReported));
     std::vector<std::string> ids;
+    ids.reserve(spare.size());
     for (auto &[open, id] : spare)
         ids.push_back(std::move(id));
     return ids;
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -240,7 +240,8 @@
     const PeerReport report { .gateway = requireString(message, "gateway"),
                               .incarnation = requireString(message, "incarnation"),
                               .availabilityZone = optionalString(message, "zone", ""),
-                              .ready = optionalBool(message, "ready", true) };
+                              .ready = optionalBool(message, "ready", true),
+                              .groupsByZone = optionalBool(message, "groups_by_zone", false) };
     if (report.gateway == m_state.settings.name)
         return;
     const TimePoint now = m_state.clock.now();
@@ -511,6 +512,7 @@
              { "zone", m_state.settings.availabilityZone },
              { "revision", m_state.configurationRevision },
              { "ready", m_state.isReady() },
+             { "groups_by_zone", m_directory.groupsAreZones() },
              { "events", std::move(events) } };
 }
 
--- a/Tests/LibForward/TestPeerDirectory.cpp
+++ b/Tests/LibForward/TestPeerDirectory.cpp
@@ -37,12 +37,13 @@
     }
 
     bool hear(PeerDirectory &directory, std::size_t index, std::size_t zones, bool ready = true,
-              const std::string &incarnation = "p1")
+              const std::string &incarnation = "p1", bool groupsByZone = true)
     {
         return directory.recordReport({ .gateway = nameOf(index),
                                         .incarnation = incarnation,
                                         .availabilityZone = zoneOf(index, zones),
-                                        .ready = ready },
+                                        .ready = ready,
+                                        .groupsByZone = groupsByZone },
                                       addressOf(index), clock.now());
     }
 
@@ -76,9 +77,25 @@
     BOOST_CHECK_EQUAL(directory.gatewayCount(), 100);
 }
 
+// While VMs are added, gateways count differently. One that does not group by zone yet places at
+// the engines of all zones, so it must hear of placements there, and be heard.
+BOOST_AUTO_TEST_CASE(gatewayThatDoesNotGroupByZoneBelongsToAllGroups)
+{
+    PeerDirectory grouping = makeDirectory(0, 66, 3);
+    grouping.setZonesServeThemselves(true);
+    BOOST_REQUIRE(grouping.groupsAreZones());
+    hear(grouping, 1, 3, true, "p1", false);
+    BOOST_CHECK(grouping.isInGroup(addressOf(1)));
+    BOOST_CHECK(!grouping.isInGroup(addressOf(2)));
+    PeerDirectory common = makeDirectory(1, 64, 3);
+    common.setZonesServeThemselves(true);
+    BOOST_REQUIRE(!common.groupsAreZones());
+    BOOST_CHECK(common.isInGroup(addressOf(0)));
+}
+
 BOOST_AUTO_TEST_CASE(gatewaysThatKnowTheSamePeersChooseTheSameReaders)
 {
-    for (const std::size_t count : { 8, 21, 32 }) {
+    for (const std::size_t count : { 8, 21, 64 }) {
         std::size_t readers = 0;
         for (std::size_t own = 0; own < count; ++own) {
             const PeerDirectory directory = makeDirectory(own, count, 1);
--- a/include/lavenderpick/Forward/PeerDirectory.h
+++ b/include/lavenderpick/Forward/PeerDirectory.h
@@ -26,6 +26,8 @@
     std::string incarnation; ///< Differs for another process of the same name.
     std::string availabilityZone;
     bool ready { false };
+    /// Whether the sender groups gateways by zone, and so places at engines of its zone only.
+    bool groupsByZone { false };
 
     bool operator==(const PeerReport &) const = default;
 };
@@ -35,11 +37,13 @@
 ///
 /// Up to `maximumCommonGroup` gateways form one group. With more of them, datagrams from each to
 /// each would use up small VMs, so the gateways of each availability zone form a group, provided
-/// that each zone has enough engines of its own (`setZonesServeThemselves`).
+/// that each zone has enough engines of its own (`setZonesServeThemselves`). Gateways may count
+/// differently for a while; one that does not group by zone yet belongs to the groups of all zones,
+/// since it may place at their engines.
 class PeerDirectory
 {
 public:
-    static constexpr std::size_t maximumCommonGroup = 32;
+    static constexpr std::size_t maximumCommonGroup = 64;
     /// Below this number of gateways in a group, each reads the store itself.
     static constexpr std::size_t minimumGroupWithReaders = 8;
     /// One: until another takes over, the others read for themselves (`FeedSchedule`).
@@ -106,6 +110,7 @@
         std::string incarnation;
         std::string availabilityZone;
         bool ready { false };
+        bool groupsByZone { true }; ///< Others send their reports to all gateways.
         bool registered { false };
         TimePoint addedAt {};
         TimePoint lastHeardAt {};
--- a/include/lavenderpick/Forward/ZoneLocality.h
+++ b/include/lavenderpick/Forward/ZoneLocality.h
@@ -12,12 +12,12 @@
 class ZoneLocality
 {
 public:
-    /// Engines that each zone must have. A zone with fewer than this can't split the longest
-    /// prompts and still serve others.
-    static constexpr std::size_t minimumEngines = 24;
+    /// Engines that each zone must have. With 26, the longest prompts, split over 17, delayed most
+    /// streams of their zone.
+    static constexpr std::size_t minimumEngines = 32;
     /// Engines below which zones are joined again. Lower than `minimumEngines`, so that a few
     /// restarts don't change the decision back and forth.
-    static constexpr std::size_t minimumEnginesToStay = 17;
+    static constexpr std::size_t minimumEnginesToStay = 20;
 
     explicit ZoneLocality(std::string ownZone)
         : m_ownZone(std::move(ownZone))
