FeedSchedule: Forget a gap that a peer's changes close

Change: an applied change closes the gap that it fills; a follower waits at least half of the spread; one datagram holds up to 24 changes. The test of a closed gap fails without the change.

--- a/Libraries/LibForward/FeedSchedule.cpp
+++ b/Libraries/LibForward/FeedSchedule.cpp
@@ -95,6 +95,8 @@
         return false;
     m_readTo = revision;
     m_newestChange = std::max(m_newestChange, revision);
+    if (m_gap && m_gap->revision <= m_readTo)
+        m_gap.reset();
     return true;
 }
 
@@ -105,11 +107,13 @@
         m_gap->heardAt = now;
         return;
     }
-    m_gap = { .revision = revision,
-              .heardAt = now,
-              .readAt = now
-                      + std::chrono::duration_cast<Duration>(m_settings.catchUpSpread
-                                                             * m_random.unit()) };
+    // The datagram with the change may still be on its way.
+    const double delayShare = 0.5 + m_random.unit() / 2;
+    m_gap = {
+        .revision = revision,
+        .heardAt = now,
+        .readAt = now + std::chrono::duration_cast<Duration>(m_settings.catchUpSpread * delayShare)
+    };
 }
 
 std::optional<Duration> FeedSchedule::dueRead(TimePoint now) const
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -15,8 +15,9 @@
 // fit in one packet.
 constexpr std::size_t eventFlushThreshold = 8;
 constexpr Duration fetchTimeout { Milliseconds(800) };
-// A change takes about 150 bytes; these fit in one packet.
-constexpr std::size_t changesPerDatagram = 8;
+// A change takes about 170 bytes. Datagrams of one read that overtake each other leave a gap, which
+// each follower closes by a call to the store, so few large ones are better than many small ones.
+constexpr std::size_t changesPerDatagram = 24;
 // A configuration and the records of thousands of upstreams take a few megabytes.
 constexpr ResponseLimits fetchLimits { .bodyBytes = 16'777'216, .totalTime = Seconds(5) };
 constexpr Duration groupUpdateInterval { Milliseconds(200) };
--- a/Tests/LibForward/TestFeedSchedule.cpp
+++ b/Tests/LibForward/TestFeedSchedule.cpp
@@ -313,6 +313,19 @@
     BOOST_CHECK(!schedule.dueRead(now()));
 }
 
+// The report of a change may overtake the change itself.
+BOOST_AUTO_TEST_CASE(gapThatAPeersChangesCloseNeedsNoRead)
+{
+    schedule.setRole(FeedRole::Follower);
+    schedule.recordListing(10, now());
+    schedule.recordPeerReport({ .newestChange = 12, .readTo = 12 }, now());
+    clock.advance(settings.catchUpSpread / 4);
+    BOOST_CHECK(!schedule.dueRead(now()));
+    BOOST_CHECK(schedule.applyPeerChange(12));
+    clock.advance(settings.catchUpSpread);
+    BOOST_CHECK(!schedule.dueRead(now()));
+}
+
 BOOST_AUTO_TEST_CASE(followerReadsWhenNoFreshReportArrives)
 {
     schedule.setRole(FeedRole::Follower);
