UpstreamDirectory: Stop asking an upstream whose address another process has

A response 421 shows that the record is out of date, but it counted for its own request only; the engine without requests looked the emptiest, so it was chosen again. Change: such a response takes the upstream out of the ready ones until its record changes, or for 5 s. Ruled out: ejecting it like a failing one (three consecutive failures, and back after 1.5 s).

--- a/Libraries/LibForward/UpstreamDirectory.cpp
+++ b/Libraries/LibForward/UpstreamDirectory.cpp
@@ -77,6 +77,25 @@
         remove(id, now);
 }
 
+void UpstreamDirectory::recordMisdirection(const std::string &id, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    found->second.misdirectedUntil = now + misdirectionTimeout;
+    recordChange();
+}
+
+void UpstreamDirectory::endMisdirections(TimePoint now)
+{
+    for (auto &[id, entry] : m_entries) {
+        if (!entry.misdirectedUntil || now < *entry.misdirectedUntil)
+            continue;
+        entry.misdirectedUntil.reset();
+        recordChange();
+    }
+}
+
 void UpstreamDirectory::storeLost()
 {
     m_storeUnavailable = true;
@@ -105,6 +124,7 @@
 
 std::vector<std::string> UpstreamDirectory::expire(TimePoint now)
 {
+    endMisdirections(now);
     std::vector<std::string> removedIds;
     if (m_storeUnavailable || now < m_gracePeriodEnd)
         return removedIds;
@@ -141,7 +161,8 @@
         return known->second;
     std::vector<const UpstreamRecord *> &list = m_ready[service];
     for (const auto &[id, entry] : m_entries) {
-        if (entry.record.service == service && entry.record.state == UpstreamState::Ready)
+        if (entry.record.service == service && entry.record.state == UpstreamState::Ready
+            && !entry.misdirectedUntil)
             list.push_back(&entry.record);
     }
     return list;
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -549,6 +549,7 @@
 void Exchange::handleUpstreamRefusal()
 {
     if (m_state.dialect.isMisdirected(m_attemptHead)) {
+        m_state.upstreams.recordMisdirection(m_decision.upstream, m_state.clock.now());
         failAttempt(AttemptOutcome::Misdirected, "other_upstream");
         return;
     }
--- a/Tests/LibForward/TestUpstreamDirectory.cpp
+++ b/Tests/LibForward/TestUpstreamDirectory.cpp
@@ -72,6 +72,34 @@
     BOOST_CHECK_EQUAL(directory.ready("s").size(), 2);
 }
 
+// The store could not be reached while the address was given to another process.
+BOOST_AUTO_TEST_CASE(misdirectedUpstreamIsNotReadyUntilItsRecordChanges)
+{
+    UpstreamDirectory directory;
+    directory.put(upstream("a"));
+    directory.put(upstream("b"));
+    directory.recordMisdirection("a", start);
+    BOOST_REQUIRE_EQUAL(directory.ready("s").size(), 1);
+    BOOST_CHECK_EQUAL(directory.ready("s").front()->id, "b");
+    directory.put(upstream("a")); // The same record says nothing new.
+    BOOST_CHECK_EQUAL(directory.ready("s").size(), 1);
+    UpstreamRecord restarted = upstream("a");
+    restarted.address = "10.0.0.2:80";
+    directory.put(restarted);
+    BOOST_CHECK_EQUAL(directory.ready("s").size(), 2);
+}
+
+BOOST_AUTO_TEST_CASE(misdirectionEndsByItself)
+{
+    UpstreamDirectory directory;
+    directory.put(upstream("a"));
+    directory.recordMisdirection("a", start);
+    directory.expire(start + UpstreamDirectory::misdirectionTimeout - Milliseconds(1));
+    BOOST_CHECK(directory.ready("s").empty());
+    directory.expire(start + UpstreamDirectory::misdirectionTimeout);
+    BOOST_CHECK_EQUAL(directory.ready("s").size(), 1);
+}
+
 // A gateway that relies on peers may not have noticed that the store was away.
 BOOST_AUTO_TEST_CASE(aPeersRemovalDelayKeepsExpiredEntries)
 {
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -267,6 +267,16 @@
     BOOST_CHECK_EQUAL(upstream.received().back().header("Urgency"), "1");
 }
 
+// Each request would be sent to the address of the former process, and use up a retry.
+BOOST_AUTO_TEST_CASE(misdirectedUpstreamGetsNoFurtherRequests)
+{
+    const auto &former = addUpstream("u1", respondWith("", 421));
+    addUpstream("u2", respondWith("done"));
+    for (int number = 1; number <= 20; ++number)
+        BOOST_CHECK_EQUAL(sendAndWait("/once/", "r" + std::to_string(number))->status, 200);
+    BOOST_CHECK_EQUAL(former.received().size(), 1);
+}
+
 // No gateway has a configuration and the store is away; a caller that returns at once is refused
 // again.
 BOOST_AUTO_TEST_CASE(callersReturnLateWhileNoConfigurationCanBeRead)
--- a/include/lavenderpick/Forward/UpstreamDirectory.h
+++ b/include/lavenderpick/Forward/UpstreamDirectory.h
@@ -46,6 +46,9 @@
     /// Expired entries are documented to be registered again within about two seconds.
     static constexpr Duration recoveryGracePeriod { Milliseconds(2'000) };
 
+    /// Bounds the loss if the response was wrong. Each attempt after it costs a caller one retry.
+    static constexpr Duration misdirectionTimeout { Seconds(5) };
+
     /// Adds or replaces one upstream.
     void put(const UpstreamRecord &record);
 
@@ -56,6 +59,10 @@
     /// Applies a complete listing; upstreams missing from it are removed as by `remove`.
     void replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now);
 
+    /// Another process answered at the upstream's address: the record is out of date. The upstream
+    /// is not ready until the record changes, or for `misdirectionTimeout`.
+    void recordMisdirection(const std::string &id, TimePoint now);
+
     void storeLost();
     void storeRegained(TimePoint now);
 
@@ -65,7 +72,8 @@
     /// Delays removals for at least this long; a peer noticed that the store was unavailable.
     void extendRemovalDelay(Duration delay, TimePoint now);
 
-    /// Carries out delayed removals once the grace period has ended; returns the removed ids.
+    /// Carries out delayed removals once the grace period has ended, and ends misdirections;
+    /// returns the removed ids.
     std::vector<std::string> expire(TimePoint now);
 
     /// Null when the id is not listed.
@@ -87,9 +95,11 @@
     {
         UpstreamRecord record;
         bool removalPending { false }; ///< Removed when the grace period ends.
+        std::optional<TimePoint> misdirectedUntil {};
     };
 
     void recordChange();
+    void endMisdirections(TimePoint now);
 
     std::map<std::string, Entry> m_entries;
     mutable std::map<std::string, std::vector<const UpstreamRecord *>> m_ready;
