--- a/Tests/PlatformAdapter/TestStoreSource.cpp
+++ b/Tests/PlatformAdapter/TestStoreSource.cpp
@@ -46,7 +46,8 @@
 {
 public:
     explicit FakeStore(asio::io_context &context)
-        : m_server(context, [this](const ReceivedRequest &request, const Peer &peer) {
+        : m_context(context)
+        , m_server(context, [this](const ReceivedRequest &request, const Peer &peer) {
             handleRequest(request, peer);
         })
     { }
@@ -78,6 +79,8 @@
     void setStatus(int status) { m_status = status; }
     void dropHistory() { m_historyGone = true; }
     void setSilent(bool silent) { m_silent = silent; }
+    /// Whether responses are bodies without end.
+    void setEndless(bool endless) { m_endless = endless; }
 
     std::int64_t revision { 10 };
     int calls { 0 };
@@ -113,6 +116,11 @@
         ++calls;
         if (m_silent)
             return;
+        if (m_endless) {
+            peer->write("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n");
+            writeWithoutEnd(peer);
+            return;
+        }
         if (m_status != 200) {
             respond(peer, m_status, nlohmann::json::object());
             return;
@@ -147,6 +155,14 @@
         }
     }
 
+    void writeWithoutEnd(const Peer &peer)
+    {
+        if (!peer->isOpen())
+            return;
+        peer->write("10000\r\n" + std::string(65'536, ' ') + "\r\n");
+        asio::post(m_context, [this, peer] { writeWithoutEnd(peer); });
+    }
+
     void completePoll(const std::string &table, const nlohmann::json &row)
     {
         const auto poll = m_polls.find(table);
@@ -163,6 +179,8 @@
     int m_status { 200 };
     bool m_historyGone { false };
     bool m_silent { false };
+    bool m_endless { false };
+    asio::io_context &m_context;
     ScriptedUpstream m_server;
 };
 
@@ -387,4 +405,18 @@
     BOOST_CHECK(runUntil([&] { return observer.lost == 1; }));
 }
 
+// The clock stands still, so only the limit in bytes ends the response.
+BOOST_AUTO_TEST_CASE(endlessResponseOfTheStoreCountsAsAFailure)
+{
+    start();
+    store.setEndless(true);
+    store.put("servers", "i-2", readyUpstreamBase64);
+    BOOST_REQUIRE(runUntil([&] { return observer.changes.size() == 1; }));
+    advance(settings.changeSpacing);
+    BOOST_CHECK(runUntil([&] { return observer.lost == 1; }));
+    store.setEndless(false);
+    advance(Seconds(1));
+    BOOST_CHECK(runUntil([&] { return observer.regained == 1; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
