Exchange: Log the shared parts of prompts

While engines crashed one after the other, the logs named the upstream and the request of each broken attempt, but not what the broken requests had in common. 'sent' and 'attempt failed' now carry the ids of the prompt's parts that other prompts may contain too.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -96,6 +96,7 @@
         return;
     readDeadline();
     m_size = m_state.dialect.generationSize(m_head.headers);
+    m_promptParts = m_state.dialect.sharedPromptParts(m_head.headers);
     m_service = chooseService();
     m_state.retryBudget.recordRequest(m_service, m_arrivedAt);
     dispatch();
@@ -797,6 +798,7 @@
         fields["cause"] = cause;
     if (m_size) {
         fields["tokens"] = m_size->promptTokens;
+        fields["prompt_parts"] = m_promptParts;
         fields["helpers"] = m_decision.helpers;
         fields["open"] = m_state.ledger.size();
         fields["busy_upstreams"] = m_state.ledger.busyUpstreams();
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -111,6 +111,7 @@
     const Customer *m_customer { nullptr };
     std::string m_service;
     std::optional<GenerationSize> m_size;
+    std::vector<std::string> m_promptParts; ///< Those that other requests may contain too.
 
     PlacementDecision m_decision;
     std::optional<std::uint64_t> m_waitingId;
--- a/Tests/PlatformAdapter/TestRecordDecoder.cpp
+++ b/Tests/PlatformAdapter/TestRecordDecoder.cpp
@@ -110,6 +110,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(sharedPromptPartsAreAllButTheLast)
+{
+    const Platform::PlatformDialect dialect;
+    const auto parts = [&](const std::string &text) {
+        HeaderList headers;
+        headers.add("X-Prompt-Prefix", text);
+        return dialect.sharedPromptParts(headers);
+    };
+    BOOST_CHECK((parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250")
+                 == std::vector<std::string> { "5c1e07a2", "91bd3f06" }));
+    for (const char *text : { "e4402b7d:250", "", ",", "a,b:1", ":1,b:1" })
+        BOOST_CHECK_MESSAGE(parts(text).empty(), text);
+    BOOST_CHECK(dialect.sharedPromptParts({}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(onlyNotExecutedHeaderOrMisdirectedStatusProvesNotRun)
 {
     const Platform::PlatformDialect dialect;
--- a/Tests/ServiceGateway/GatewayFixture.cpp
+++ b/Tests/ServiceGateway/GatewayFixture.cpp
@@ -24,6 +24,12 @@
     return size;
 }
 
+std::vector<std::string> TestDialect::sharedPromptParts(const HeaderList &headers) const
+{
+    const std::string *parts = headers.find("Parts");
+    return parts == nullptr ? std::vector<std::string> {} : std::vector<std::string> { *parts };
+}
+
 std::string TestDialect::formatHelpers(const std::vector<PrefillHelper> &helpers) const
 {
     std::string list;
--- a/include/lavenderpick/Forward/RequestDialect.h
+++ b/include/lavenderpick/Forward/RequestDialect.h
@@ -58,6 +58,10 @@
     /// The token counts that a request announces; empty if there are none or they can't be parsed.
     virtual std::optional<GenerationSize> generationSize(const HeaderList &headers) const = 0;
 
+    /// Ids of the parts of the prompt that other requests may contain too, in order; empty if the
+    /// request announces none or they can't be parsed.
+    virtual std::vector<std::string> sharedPromptParts(const HeaderList &headers) const = 0;
+
     /// The urgency sent to engines for a request of this priority (0 is served first).
     virtual std::string formatUrgency(int priority) const = 0;
 
