Exchange: Keep prompts with a part that crashes engines from further engines

A twentieth of the replies had one part in common, and an engine that decodes it crashes, with all other streams that it has.

Cause: a broken attempt was held against the upstream alone. Nothing remembered what the broken requests had in common, so that each new request with the part, and each retry, took one more engine. Class: a request that kills its server, and retries that carry it on.

Evidence: with prompt parts in the logs, that part was open at 76 crashes and completed 0 times, while the other part of the same prompts, open at as many crashes, was completed 84 times.

The request is told at once that it did not run and when the quarantine ends; one that may have run gets 502 as before.

Ruled out: overload (a third of the slots were taken before the first crash); ending retries after a crash alone (new requests with the part come all the time); taking the part that is open most often (that is the sound one here).

The test promptPartThatCrashesUpstreamsReachesNoFurtherUpstreams fails on (10 crashes, 502 in place of 503).

--- a/Libraries/LibBase/Problem.cpp
+++ b/Libraries/LibBase/Problem.cpp
@@ -39,6 +39,7 @@
     case RefusalReason::StoreUnavailable:
     case RefusalReason::NotReady:
     case RefusalReason::StaleDocument:
+    case RefusalReason::QuarantinedPrompt:
         return 503;
     }
     return 500;
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -197,9 +197,25 @@
         failRequest("deadline");
         return;
     }
+    if (rejectQuarantined())
+        return;
     place();
 }
 
+bool Exchange::rejectQuarantined()
+{
+    const auto holdTime = m_state.quarantine.holdTime(m_promptParts, m_state.clock.now());
+    if (!holdTime)
+        return false;
+    if (m_writer.hasBegun() || !m_history.hasNotRun()) {
+        failRequest("quarantined_prompt");
+        return true;
+    }
+    refuse(503, RefusalReason::QuarantinedPrompt,
+           "A part of this prompt crashed several upstreams.", holdTime);
+    return true;
+}
+
 PlacementDecision Exchange::choosePlacement(const PlacementRequest &request) const
 {
     const auto &subset = m_state.subset.select(m_state.upstreams, m_service);
@@ -541,6 +557,7 @@
         abortResponse("partial_event");
         return;
     }
+    recordCompletedPrompt();
     writeBody(m_buffer);
     m_buffer.clear();
     m_writer.writeEnd();
@@ -586,10 +603,25 @@
     const bool sent = failure != ConnectionFailure::NotConnected;
     m_connection.reset();
     m_state.outliers.recordFailure(m_decision.upstream, m_state.clock.now());
+    if (failure == ConnectionFailure::Closed || failure == ConnectionFailure::BadResponse)
+        recordBrokenAttempt();
     failAttempt(sent ? AttemptOutcome::Failed : AttemptOutcome::NotSent,
                 std::string(toString(failure)));
 }
 
+void Exchange::recordBrokenAttempt()
+{
+    m_state.quarantine.recordBroken(
+            { .upstream = m_decision.upstream, .promptParts = m_promptParts }, m_state.clock.now());
+}
+
+void Exchange::recordCompletedPrompt()
+{
+    // An upstream that crashes also ends a response that is framed by the end of its connection.
+    if (m_attemptHead.framing != BodyFraming::UntilClose)
+        m_state.quarantine.recordCompleted(m_promptParts, m_attemptStartedAt, m_state.clock.now());
+}
+
 void Exchange::endAttempt()
 {
     m_state.stalledStreams.recordEnd(m_decision.upstream, m_streamId);
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -44,6 +44,7 @@
     std::optional<Duration> callerTimeLeft() const;
     void readDeadline();
     void dispatch();
+    bool rejectQuarantined();
     std::string chooseService() const;
     void retryPlacement() override;
     Duration expectedDuration() const;
@@ -83,6 +84,8 @@
     void failAttempt(AttemptOutcome outcome, const std::string &cause);
     void retry(AttemptOutcome outcome, const std::string &cause);
     void endAttempt();
+    void recordBrokenAttempt();
+    void recordCompletedPrompt();
     Duration silenceTimeout() const;
     void retryStalledStream(TimePoint now);
     void forwardBufferedFailure();
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -37,6 +37,9 @@
     , m_signals(context, SIGTERM, SIGINT, SIGHUP)
 {
     m_state.placementObserver = &m_peerExchange;
+    m_state.quarantine.setChangeHandler([this](const SuspectedParts &suspicion, bool held) {
+        quarantineChanged(suspicion, held);
+    });
 }
 
 void GatewayProcess::run()
@@ -111,6 +114,7 @@
     for (const std::string &id : m_state.upstreams.expire(now))
         forgetUpstream(id);
     m_state.ledger.expire(now);
+    m_state.quarantine.expire(now);
     m_state.pool.trimIdleConnections(now);
     const std::vector<std::shared_ptr<InboundConnection>> connections(m_connections.begin(),
                                                                       m_connections.end());
@@ -327,6 +331,18 @@
     m_peerExchange.setRegistered(gateways);
 }
 
+void GatewayProcess::quarantineChanged(const SuspectedParts &suspicion, bool held)
+{
+    m_peerExchange.quarantineChanged();
+    m_state.metrics.increment("lavenderpick_quarantine_changes_total",
+                              held ? "state=\"held\"" : "state=\"released\"");
+    log(LogLevel::Warning, "gateway", held ? "prompt parts quarantined" : "prompt parts released",
+        { { "prompt_parts", suspicion.parts },
+          { "crashes", suspicion.crashes },
+          { "moments", suspicion.moments },
+          { "since_ms", toMilliseconds(m_state.clock.now() - suspicion.firstCrash) } });
+}
+
 void GatewayProcess::updateZoneLocality()
 {
     if (m_state.configuration && m_localityGeneration != m_state.upstreams.generation()) {
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -51,6 +51,7 @@
     void storeRegained() override;
 
     void forgetUpstream(const std::string &id);
+    void quarantineChanged(const SuspectedParts &suspicion, bool held);
     void updateZoneLocality();
 
     asio::io_context &m_context;
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -8,6 +8,7 @@
 #include "lavenderpick/Forward/GracefulShutdown.h"
 #include "lavenderpick/Forward/LoadLedger.h"
 #include "lavenderpick/Forward/Placer.h"
+#include "lavenderpick/Forward/PromptQuarantine.h"
 #include "lavenderpick/Forward/RequestDialect.h"
 #include "lavenderpick/Forward/ReturnTime.h"
 #include "lavenderpick/Forward/SpareEngines.h"
@@ -53,6 +54,7 @@
     Placer placer;
     WindowedRetryBudget retryBudget;
     OutlierDetector outliers;
+    PromptQuarantine quarantine;
     StalledStreamDetector stalledStreams;
     GracefulShutdown stop;
     UpstreamConnectionPool pool;
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -1,5 +1,7 @@
 #include "Services/Gateway/PeerExchange.h"
 
+#include "Services/Gateway/QuarantineMessages.h"
+
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Base/Json.h"
 #include "lavenderpick/Base/Log.h"
@@ -249,6 +251,7 @@
     if (m_directory.recordReport(report, sender, now)) {
         m_state.ledger.forgetGateway(report.gateway, now);
         updateGroup(now);
+        m_nextHeldReportAt = {};
         if (m_directory.isInGroup(sender))
             sendOpenPlacements(sender);
     }
@@ -256,6 +259,7 @@
         applyEvent(report.gateway, event);
     try {
         handleChanges(message, now);
+        handlePrompts(message, report.availabilityZone, now);
     } catch (const nlohmann::json::exception &error) {
         throw Error(ErrorKind::InvalidMessage, std::string("malformed report: ") + error.what(),
                     "Run the same version on all gateways.");
@@ -286,6 +290,17 @@
                 now);
 }
 
+void PeerExchange::handlePrompts(const nlohmann::json &message, const std::string &zone,
+                                 TimePoint now)
+{
+    if (!message.contains("prompts"))
+        return;
+    const bool isGroup = !m_directory.groupsAreZones() || zone == m_state.settings.availabilityZone;
+    m_state.quarantine.apply(
+            decodeQuarantineNews(message.at("prompts")),
+            isGroup ? PromptQuarantine::Origin::Group : PromptQuarantine::Origin::Other, now);
+}
+
 void PeerExchange::handleRevision(std::int64_t revision, const std::string &sender, TimePoint now)
 {
     if (revision <= m_state.configurationRevision) {
@@ -456,13 +471,45 @@
         flush(now);
     if (now >= m_nextHeartbeatAt)
         sendHeartbeat(now);
-    if (isReader() && m_directory.groupsAreZones() && now >= m_nextSpareReportAt)
-        reportSpareEngines(now);
+    sendQuarantineNews(now);
+    if (now >= m_nextZoneReportAt)
+        reportToOtherZones(now);
 }
 
-void PeerExchange::reportSpareEngines(TimePoint now)
+void PeerExchange::sendQuarantineNews(TimePoint now)
+{
+    QuarantineNews news = m_state.quarantine.takeNews();
+    if (now >= m_nextHeldReportAt) {
+        // One report is enough for a gateway that missed the others, so large groups send fewer
+        // each.
+        constexpr std::size_t reportersPerHeartbeat = 8;
+        m_nextHeldReportAt = now
+                + heartbeatInterval
+                        * std::max<std::size_t>(1, m_group.size() / reportersPerHeartbeat);
+        news.held = m_state.quarantine.held(now);
+    }
+    if (!m_socket.is_open() || news.isEmpty())
+        return;
+    nlohmann::json datagram = makeDatagram(nlohmann::json::array());
+    datagram["prompts"] = encodeQuarantineNews(news);
+    sendTo(m_group, datagram);
+}
+
+void PeerExchange::reportToOtherZones(TimePoint now)
+{
+    m_nextZoneReportAt = now + SpareEngines::reportInterval;
+    const QuarantineNews news = m_state.quarantine.takeGroupNews(now);
+    if (!isReader() || !m_directory.groupsAreZones() || !m_state.configuration)
+        return;
+    nlohmann::json datagram = makeDatagram(nlohmann::json::array());
+    datagram["spare_engines"] = spareEngines(now);
+    if (!news.isEmpty())
+        datagram["prompts"] = encodeQuarantineNews(news);
+    sendTo(resolve(m_directory.otherZoneAddresses()), datagram);
+}
+
+std::vector<std::string> PeerExchange::spareEngines(TimePoint now) const
 {
-    m_nextSpareReportAt = now + SpareEngines::reportInterval;
     std::vector<const UpstreamRecord *> engines;
     for (const ServiceProfile &service : m_state.configuration->services()) {
         if (!service.engine)
@@ -472,9 +519,7 @@
                 engines.push_back(record);
         }
     }
-    nlohmann::json datagram = makeDatagram(nlohmann::json::array());
-    datagram["spare_engines"] = SpareEngines::choose(engines, m_state.ledger, now);
-    sendTo(resolve(m_directory.otherZoneAddresses()), datagram);
+    return SpareEngines::choose(engines, m_state.ledger, now);
 }
 
 void PeerExchange::flush(TimePoint now)
--- a/Services/Gateway/PeerExchange.h
+++ b/Services/Gateway/PeerExchange.h
@@ -52,6 +52,9 @@
     /// Whether the store can't be reached; peers then supply the configuration.
     void setStoreLost(bool lost) { m_storeLost = lost; }
 
+    /// Reports what is quarantined with the next sweep. Called when it changes.
+    void quarantineChanged() { m_nextHeldReportAt = {}; }
+
     const PeerDirectory &directory() const { return m_directory; }
 
     void sweep(TimePoint now);
@@ -72,12 +75,15 @@
     void handleMessage(const nlohmann::json &message, const std::string &sender);
     void handleRevision(std::int64_t revision, const std::string &sender, TimePoint now);
     void handleChanges(const nlohmann::json &message, TimePoint now);
+    void handlePrompts(const nlohmann::json &message, const std::string &zone, TimePoint now);
     void applyEvent(const std::string &gateway, const nlohmann::json &event);
     std::set<std::string> otherZones(const Placement &placement) const;
     void enqueue(std::uint64_t placementNumber, const nlohmann::json &event);
     void flush(TimePoint now);
     void sendHeartbeat(TimePoint now);
-    void reportSpareEngines(TimePoint now);
+    void sendQuarantineNews(TimePoint now);
+    void reportToOtherZones(TimePoint now);
+    std::vector<std::string> spareEngines(TimePoint now) const;
     void sendOpenPlacements(const std::string &peer);
     nlohmann::json encodePlacedEvent(const PlacementKey &key, const Placement &placement) const;
     nlohmann::json makeDatagram(nlohmann::json events) const;
@@ -99,7 +105,8 @@
     std::map<std::uint64_t, std::set<std::string>> m_otherZonesByPlacement;
     TimePoint m_nextHeartbeatAt {};
     TimePoint m_nextGroupUpdateAt {};
-    TimePoint m_nextSpareReportAt {};
+    TimePoint m_nextZoneReportAt {};
+    TimePoint m_nextHeldReportAt {};
     TimePoint m_newerRevisionSince {}; ///< Since when a peer has a newer configuration.
     FeedRole m_role { FeedRole::Alone };
     bool m_storeLost { false };
--- a/Tests/ServiceGateway/GatewayFixture.cpp
+++ b/Tests/ServiceGateway/GatewayFixture.cpp
@@ -26,8 +26,12 @@
 
 std::vector<std::string> TestDialect::sharedPromptParts(const HeaderList &headers) const
 {
-    const std::string *parts = headers.find("Parts");
-    return parts == nullptr ? std::vector<std::string> {} : std::vector<std::string> { *parts };
+    std::vector<std::string> parts;
+    for (const HeaderField &field : headers.fields()) {
+        if (equalHeaderNames(field.name, "Part"))
+            parts.push_back(field.value);
+    }
+    return parts;
 }
 
 std::string TestDialect::formatHelpers(const std::vector<PrefillHelper> &helpers) const
--- a/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
+++ b/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
@@ -208,4 +208,38 @@
     BOOST_REQUIRE(runUntil([&] { return state.ledger.load("u1").decodingRequests() == 1; }));
 }
 
+BOOST_AUTO_TEST_CASE(promptPartThatCrashesUpstreamsReachesNoFurtherUpstreams)
+{
+    std::size_t crashes = 0;
+    const auto script = [&](const ReceivedRequest &request, const Peer &peer) {
+        if (request.head.headers.count("Part") > 1) {
+            ++crashes;
+            peer->close();
+            return;
+        }
+        peer->write("HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("Request-Id")
+                    + "\r\nProof: p\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + chunk("id: 1\ndata: x\n\n") + std::string(lastChunk));
+    };
+    for (int index = 0; index < 8; ++index)
+        addUpstream("u" + std::to_string(index), script, "engines");
+    const std::string sound = "Tokens: 100,10\r\nPart: shared\r\n";
+    const std::string harmful = sound + "Part: bad\r\n";
+    int soundServed = 0;
+    for (int index = 0; index < 8; ++index) {
+        const std::string id = std::to_string(index);
+        soundServed += sendAndWait("/stream/", "sound-" + id, sound, "x")->status == 200 ? 1 : 0;
+        if (index >= 3)
+            sendAndWait("/stream/", "harmful-" + id, harmful, "x");
+        advance(Milliseconds(400));
+    }
+    BOOST_CHECK_EQUAL(soundServed, 8);
+    BOOST_CHECK_LE(crashes, 6);
+    const auto rejected = sendAndWait("/stream/", "harmful", harmful, "x");
+    BOOST_CHECK_EQUAL(rejected->status, 503);
+    BOOST_CHECK_MESSAGE(rejected->body.find("quarantined_prompt") != std::string::npos,
+                        rejected->body);
+    BOOST_CHECK_EQUAL(rejected->header("Retry-After").empty(), false);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/lavenderpick/Base/Reasons.h
+++ b/include/lavenderpick/Base/Reasons.h
@@ -40,9 +40,10 @@
     Cancelled,
     UpstreamFailed,
     NotFound,
+    QuarantinedPrompt,
 };
 
-constexpr int refusalReasonCount = static_cast<int>(RefusalReason::NotFound) + 1;
+constexpr int refusalReasonCount = static_cast<int>(RefusalReason::QuarantinedPrompt) + 1;
 
 std::string_view toString(RefusalReason reason);
 
