Exchange: Resume a stream that ends inside an event

What callers saw: a stream whose upstream broke off inside an event was cut, although its route may be resumed, if the response had neither a length nor chunks: it ends with its connection, and an orderly close looked like its end.

Cause: requestFailed, which retries, is called only where the framing of the response is incomplete. An incomplete event in a complete framing went to finishForwarding, which ended the response to the caller.

Change: such an end fails the attempt like any other break, counts against the upstream, and is evidence for CrashEvidence. Where no retry is allowed, the caller's response still ends without looking complete.

The test streamThatEndsInsideAnEventWithItsConnectionIsResumed failed before (the body ended after the first event).

shortPromptsUseSpareEnginesOfOtherZones answered its stream with 'x', which is no whole event; it now answers with one, and checks what it checked.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -536,6 +536,10 @@
 void Exchange::responseEnded()
 {
     const auto self = shared_from_this();
+    if (m_attemptHead.isSuccess() && isStream() && m_events.partialBytes() > 0) {
+        failBrokenStream();
+        return;
+    }
     std::shared_ptr<HttpConnection> connection = std::move(m_connection);
     m_connection.reset();
     endAttempt();
@@ -548,15 +552,18 @@
     handleUpstreamRefusal();
 }
 
+// The framing of the response is complete, but its last event is not.
+void Exchange::failBrokenStream()
+{
+    m_state.outliers.recordFailure(m_decision.upstream, m_state.clock.now());
+    recordBrokenAttempt();
+    failAttempt(AttemptOutcome::Failed, "partial_event");
+}
+
 void Exchange::finishForwarding()
 {
     endAttempt();
     beginResponse();
-    if (isStream() && m_events.partialBytes() > 0) {
-        // A complete response that ends within an event is malformed.
-        abortResponse("partial_event");
-        return;
-    }
     recordCompletedPrompt();
     writeBody(m_buffer);
     m_buffer.clear();
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -78,6 +78,7 @@
     void recordEventTimes();
     void beginResponse();
     void writeBody(std::string_view bytes);
+    void failBrokenStream();
     void finishForwarding();
     void handleUpstreamRefusal();
     bool mayRetryOpenAttempt() const;
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -298,14 +298,14 @@
 
 BOOST_AUTO_TEST_CASE(shortPromptsUseSpareEnginesOfOtherZones)
 {
-    const auto &own = addUpstream("own", respondWith("x"), "engines");
+    const auto &own = addUpstream("own", respondWith(event(1)), "engines");
     for (std::size_t number = 0; number < UpstreamSubset::maximumSize; ++number)
         state.upstreams.put({ .id = "far-" + std::to_string(number),
                               .service = "engines",
                               .address = "127.0.0.1:1",
                               .availabilityZone = "b",
                               .capacity = 4 });
-    const auto &spare = addUpstream("spare", respondWith("x"), "engines");
+    const auto &spare = addUpstream("spare", respondWith(event(1)), "engines");
     UpstreamRecord spareRecord = *state.upstreams.find("spare");
     spareRecord.availabilityZone = "b";
     state.upstreams.put(spareRecord);
--- a/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
+++ b/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
@@ -242,4 +242,23 @@
     BOOST_CHECK_EQUAL(rejected->header("Retry-After").empty(), false);
 }
 
+// Without a length or chunks, the end of the connection is all that ends the response.
+BOOST_AUTO_TEST_CASE(streamThatEndsInsideAnEventWithItsConnectionIsResumed)
+{
+    const auto script = [](const ReceivedRequest &request, const Peer &peer) {
+        const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: " + request.header("Request-Id")
+                + "\r\nProof: p\r\nConnection: close\r\n\r\n";
+        if (request.header("Last-Event-Id").empty())
+            peer->write(head + "id: 1\ndata: x\n\nid: 2\nda");
+        else
+            peer->write(head + "id: 2\ndata: y\n\n");
+        peer->closeAfterOutput();
+    };
+    addUpstream("u1", script, "engines");
+    addUpstream("u2", script, "engines");
+    const auto response = sendAndWait("/stream/", "r1", "Tokens: 100,10\r\n", "x");
+    BOOST_CHECK(response->complete);
+    BOOST_CHECK_EQUAL(response->body, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
