CrashEvidence: Wait for the peers' reports of a crash before blaming a part

Cause: a gateway decided as soon as three crashes fitted a part. Its own broken requests were there, the report of the request that had caused the crash was still on its way, so that an unlucky part came first; where two parts fitted equally, the one in fewer prompts was taken, which proves nothing if they are in different prompts.

--- a/Libraries/LibForward/CrashEvidence.cpp
+++ b/Libraries/LibForward/CrashEvidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace Lavenderpick {
 
@@ -77,10 +78,12 @@
     return !crash.explained && (known == m_sound.end() || known->second < crash.at);
 }
 
-CrashEvidence::Scores CrashEvidence::scores() const
+CrashEvidence::Scores CrashEvidence::scores(TimePoint now) const
 {
     Scores scores;
     for (const Crash &crash : m_crashes) {
+        if (now - crash.at < settlingTime)
+            break;
         for (const std::vector<std::string> &prompt : crash.prompts) {
             for (const std::string &part : prompt) {
                 if (!counts(part, crash))
@@ -112,33 +115,31 @@
         return false;
     if (completionsSince(now - memory) < minimumCompletions)
         return false;
-    return static_cast<double>(score.crashes)
-            >= minimumExplainedShare * static_cast<double>(crashesSince(score.first));
+    return static_cast<double>(score.crashes) >= minimumExplainedShare
+            * static_cast<double>(crashesBetween(score.first, now - settlingTime));
 }
 
 std::optional<SuspectedParts> CrashEvidence::suspect(TimePoint now) const
 {
-    // Of two parts that were open at equally many crashes, the harmful one was open in fewer
-    // prompts, since the first prompt with it crashes the upstream.
-    const auto isWorse = [](const Score &left, const Score &right) {
-        if (left.moments != right.moments)
-            return left.moments > right.moments;
-        return left.prompts < right.prompts;
+    const auto count = [](const Score &score) { return std::pair(score.moments, score.crashes); };
+    // A sound part that all harmful prompts contain was open in other prompts too.
+    const auto isWorse = [&](const auto &left, const auto &right) {
+        return count(left.second) != count(right.second)
+                ? count(left.second) > count(right.second)
+                : left.second.prompts < right.second.prompts;
     };
-    const Scores all = scores();
-    const auto worst =
-            std::min_element(all.begin(), all.end(), [&](const auto &left, const auto &right) {
-                return isWorse(left.second, right.second);
-            });
+    const Scores all = scores(now);
+    const auto worst = std::min_element(all.begin(), all.end(), isWorse);
     if (worst == all.end() || !isConvincing(worst->first, worst->second, now))
         return std::nullopt;
-    std::vector<std::string> parts = alwaysTogetherWith(worst->first);
-    for (const auto &[part, score] : all) {
-        const bool isEqual = !isWorse(worst->second, score);
-        if (isEqual && !std::binary_search(parts.begin(), parts.end(), part))
-            return std::nullopt;
-    }
-    return SuspectedParts { .parts = std::move(parts),
+    const std::vector<std::string> together = alwaysTogetherWith(worst->first);
+    const bool isAmbiguous = std::any_of(all.begin(), all.end(), [&](const auto &other) {
+        return count(other.second) == count(worst->second)
+                && !std::binary_search(together.begin(), together.end(), other.first);
+    });
+    if (isAmbiguous)
+        return std::nullopt;
+    return SuspectedParts { .parts = withoutSoundParts(together, worst->first),
                             .firstCrash = worst->second.first,
                             .moments = worst->second.moments,
                             .crashes = worst->second.crashes };
@@ -163,9 +164,14 @@
             common = std::move(both);
         }
     }
-    std::vector<std::string> parts = common.value_or(std::vector<std::string> {});
-    std::erase_if(parts, [&](const std::string &other) {
-        return other != part && m_sound.contains(other);
+    return common.value_or(std::vector<std::string> {});
+}
+
+std::vector<std::string> CrashEvidence::withoutSoundParts(std::vector<std::string> parts,
+                                                          const std::string &suspect) const
+{
+    std::erase_if(parts, [&](const std::string &part) {
+        return part != suspect && m_sound.contains(part);
     });
     return parts;
 }
@@ -188,11 +194,11 @@
     std::erase_if(m_sound, [now](const auto &entry) { return entry.second + memory <= now; });
 }
 
-std::size_t CrashEvidence::crashesSince(TimePoint time) const
+std::size_t CrashEvidence::crashesBetween(TimePoint begin, TimePoint end) const
 {
     return static_cast<std::size_t>(
-            std::count_if(m_crashes.begin(), m_crashes.end(), [time](const Crash &crash) {
-                return !crash.explained && crash.at >= time;
+            std::count_if(m_crashes.begin(), m_crashes.end(), [=](const Crash &crash) {
+                return !crash.explained && crash.at >= begin && crash.at <= end;
             }));
 }
 
--- a/Libraries/LibForward/PromptQuarantine.cpp
+++ b/Libraries/LibForward/PromptQuarantine.cpp
@@ -59,7 +59,6 @@
     if (!attempt.promptParts.empty())
         appendBounded(m_news.broken, attempt, maximumBrokenPerReport);
     addEvidence(attempt, Origin::Own, now);
-    decide(now);
 }
 
 void PromptQuarantine::recordCompleted(const std::vector<std::string> &promptParts,
@@ -94,8 +93,6 @@
     }
     for (const QuarantineNews::Held &held : news.held)
         adopt(held, now);
-    if (!news.broken.empty())
-        decide(now);
 }
 
 void PromptQuarantine::addEvidence(const BrokenAttempt &attempt, Origin origin, TimePoint now)
@@ -236,9 +233,10 @@
     return result;
 }
 
-void PromptQuarantine::expire(TimePoint now)
+void PromptQuarantine::update(TimePoint now)
 {
     m_evidence.expire(now);
+    decide(now);
     std::erase_if(m_entries, [now](const Entry &entry) { return entry.until + probation <= now; });
     std::erase_if(m_answeredAt,
                   [now](const auto &entry) { return entry.second + answerInterval <= now; });
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -114,7 +114,7 @@
     for (const std::string &id : m_state.upstreams.expire(now))
         forgetUpstream(id);
     m_state.ledger.expire(now);
-    m_state.quarantine.expire(now);
+    m_state.quarantine.update(now);
     m_state.pool.trimIdleConnections(now);
     const std::vector<std::shared_ptr<InboundConnection>> connections(m_connections.begin(),
                                                                       m_connections.end());
--- a/Tests/LibForward/TestPromptQuarantine.cpp
+++ b/Tests/LibForward/TestPromptQuarantine.cpp
@@ -187,8 +187,8 @@
             if (isDue(reportInterval) && sender < m_options.zones)
                 deliver(sender, m_gateways[sender]->takeGroupNews(m_now),
                         PromptQuarantine::Origin::Other);
-            if (isDue(reportInterval))
-                m_gateways[sender]->expire(m_now);
+            if (isDue(newsInterval))
+                m_gateways[sender]->update(m_now);
         }
         if (isDue(newsInterval))
             m_reportsHeld = false;
--- a/include/lavenderpick/Forward/CrashEvidence.h
+++ b/include/lavenderpick/Forward/CrashEvidence.h
@@ -46,6 +46,8 @@
     /// Crashes of several upstreams within this time may have one common cause, such as the
     /// network.
     static constexpr Duration momentSpan { Milliseconds(150) };
+    /// A crash counts this long after it, when the peers' reports of it have arrived.
+    static constexpr Duration settlingTime { Milliseconds(200) };
     /// Crashes and completions are remembered for this long.
     static constexpr Duration memory { Seconds(30) };
     static constexpr std::size_t minimumMoments = 3;
@@ -93,11 +95,13 @@
     };
     using Scores = std::map<std::string, Score>;
 
-    Scores scores() const;
+    Scores scores(TimePoint now) const;
     bool counts(const std::string &part, const Crash &crash) const;
     bool isConvincing(const std::string &part, const Score &score, TimePoint now) const;
     std::vector<std::string> alwaysTogetherWith(const std::string &part) const;
-    std::size_t crashesSince(TimePoint time) const;
+    std::vector<std::string> withoutSoundParts(std::vector<std::string> parts,
+                                               const std::string &suspect) const;
+    std::size_t crashesBetween(TimePoint begin, TimePoint end) const;
     std::size_t completionsSince(TimePoint time) const;
 
     std::deque<Crash> m_crashes;              ///< Oldest first.
--- a/include/lavenderpick/Forward/PromptQuarantine.h
+++ b/include/lavenderpick/Forward/PromptQuarantine.h
@@ -94,8 +94,8 @@
     /// What is held now. Sent with every heartbeat, so that lost reports do no harm.
     std::vector<QuarantineNews::Held> held(TimePoint now) const;
 
-    /// Drops old evidence and quarantines that are long over.
-    void expire(TimePoint now);
+    /// Decides on the evidence, and drops what is old. Called several times a second.
+    void update(TimePoint now);
 
 private:
     struct Entry
