GatewayState: Keep the requests to an upstream within the limit that it names

What callers and operators saw: an engine in need names the requests a second that it takes from all gateways together, and went on getting up to 35 in 4 s where 11 to 30 are allowed.

Cause: nothing read the limit; the placer fills engines one after the other by their free slots, so that the busiest engines stay the busiest. Class: back pressure that the receiver signals and the sender ignores.

Change: UpstreamRateLimits counts the requests of the whole group at each limited upstream, which the gateways already tell each other, and passes on what each hears of limits. A request for which no upstream is free goes elsewhere, waits while it can still be on time, or is refused with the time at which one is expected to be free.

Ruled out: a fixed share for each gateway (at one request a second and 30 gateways each would send one in 30 s, and callers are spread unevenly); counting only what a gateway was told itself (four gateways heard up to 6 s apart).

The tests upstreamGetsNoMoreRequestsThanTheLimitThatItNames (80 requests in 8 s at a limit of 2) and limitThatIsNoLongerNamedIsLifted fail without the change.

--- a/Libraries/LibBase/Problem.cpp
+++ b/Libraries/LibBase/Problem.cpp
@@ -40,6 +40,7 @@
     case RefusalReason::NotReady:
     case RefusalReason::StaleDocument:
     case RefusalReason::QuarantinedPrompt:
+    case RefusalReason::UpstreamRateLimit:
         return 503;
     }
     return 500;
--- a/Libraries/LibBase/Reasons.cpp
+++ b/Libraries/LibBase/Reasons.cpp
@@ -15,7 +15,7 @@
     "customer_budget", "queue_full",      "deadline_too_short", "deadline_exceeded",
     "draining",        "no_upstream",     "upstream_memory",    "store_unavailable",
     "not_ready",       "stale_document",  "too_many_streams",   "cancelled",
-    "upstream_failed", "not_found",       "quarantined_prompt",
+    "upstream_failed", "not_found",       "quarantined_prompt", "upstream_rate_limit",
 };
 
 constexpr std::array<std::string_view, retryReasonCount> retryNames {
--- a/Libraries/LibForward/PeerDirectory.cpp
+++ b/Libraries/LibForward/PeerDirectory.cpp
@@ -148,6 +148,19 @@
     return peer != m_peers.end() && isInGroup(peer->second);
 }
 
+double PeerDirectory::aliveShare(TimePoint now) const
+{
+    std::size_t known = 1;
+    std::size_t alive = 1;
+    for (const auto &[address, peer] : m_peers) {
+        if (!isInGroup(peer) || isSilent(peer, now))
+            continue;
+        ++known;
+        alive += isAlive(peer, now) ? 1 : 0;
+    }
+    return static_cast<double>(alive) / static_cast<double>(known);
+}
+
 bool PeerDirectory::hasReadyPeer(TimePoint now) const
 {
     return std::any_of(m_peers.begin(), m_peers.end(), [now](const auto &entry) {
--- a/Libraries/LibForward/UpstreamRateLimits.cpp
+++ b/Libraries/LibForward/UpstreamRateLimits.cpp
@@ -1,22 +1,120 @@
 #include "lavenderpick/Forward/UpstreamRateLimits.h"
 
+#include <algorithm>
+
 namespace Lavenderpick {
 
-bool UpstreamRateLimits::recordNamed(const std::string &upstream, std::optional<double> limit)
+namespace {
+
+// The rest covers requests of peers whose datagrams are lost.
+constexpr double usableShare = 0.9;
+// Requests that may follow each other at once after a pause.
+constexpr int burst = 2;
+// A peer's datagram takes some milliseconds, and its event loop may be busy for longer.
+constexpr Duration delayPerGateway { Milliseconds(20) };
+constexpr Duration maximumDelay { Seconds(1) };
+// An upstream that takes nothing at all is asked this often whether it still says so.
+constexpr double minimumRate = 0.1;
+// Open requests that a peer reports to a restarted gateway don't block it for longer.
+constexpr Duration maximumDebt { Seconds(4) };
+
+} // namespace
+
+void UpstreamRateLimits::setGateways(std::size_t count, double reachableShare)
+{
+    m_gatewayCount = std::max<std::size_t>(1, count);
+    m_reachableShare = reachableShare;
+}
+
+bool UpstreamRateLimits::recordNamed(const std::string &upstream, std::optional<double> limit,
+                                     TimePoint now)
 {
-    if (this->limit(upstream) == limit)
+    const auto found = m_entries.find(upstream);
+    if (found == m_entries.end() && !limit)
         return false;
-    if (limit)
-        m_limits[upstream] = *limit;
-    else
-        m_limits.erase(upstream);
-    return true;
+    Entry &entry = m_entries[upstream];
+    const bool isChange = entry.limit != limit;
+    if (isChange && !entry.limit)
+        entry.nextFree = now;
+    entry.limit = limit;
+    entry.namedAt = now;
+    if (isChange || (limit && now - entry.reportedAt >= reportInterval))
+        entry.reportDue = true;
+    return isChange;
+}
+
+void UpstreamRateLimits::applyReport(const RateLimitReport &report, TimePoint now)
+{
+    const TimePoint namedAt = now - report.age;
+    const auto found = m_entries.find(report.upstream);
+    if (report.age >= confirmationTimeout || (found == m_entries.end() && !report.limit))
+        return;
+    if (found != m_entries.end() && found->second.namedAt >= namedAt)
+        return;
+    Entry &entry = m_entries[report.upstream];
+    if (!entry.limit)
+        entry.nextFree = now;
+    entry.limit = report.limit;
+    entry.namedAt = namedAt;
+    entry.reportedAt = now;
+    entry.reportDue = false;
+}
+
+Duration UpstreamRateLimits::interval(const Entry &entry) const
+{
+    const double rate =
+            std::max(minimumRate, usableShare * m_reachableShare * entry.limit.value_or(0));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
+}
+
+void UpstreamRateLimits::recordSent(const std::string &upstream, TimePoint now)
+{
+    const auto found = m_entries.find(upstream);
+    if (found == m_entries.end() || !found->second.limit)
+        return;
+    Entry &entry = found->second;
+    const Duration step = interval(entry);
+    // Places that were not used are not saved up beyond the burst.
+    entry.nextFree = std::max(entry.nextFree, now - (burst - 1) * step) + step;
+    entry.nextFree = std::min(entry.nextFree, now + std::max(step, maximumDebt));
+    const Duration longest =
+            std::min(maximumDelay, delayPerGateway * static_cast<int>(m_gatewayCount - 1));
+    entry.ownDelay = std::chrono::duration_cast<Duration>(longest * m_random.unit());
 }
 
 std::optional<double> UpstreamRateLimits::limit(const std::string &upstream) const
 {
-    const auto found = m_limits.find(upstream);
-    return found == m_limits.end() ? std::nullopt : std::optional<double>(found->second);
+    const auto found = m_entries.find(upstream);
+    return found == m_entries.end() ? std::nullopt : found->second.limit;
+}
+
+Duration UpstreamRateLimits::timeUntilAllowed(const std::string &upstream, TimePoint now) const
+{
+    const auto found = m_entries.find(upstream);
+    if (found == m_entries.end() || !found->second.limit)
+        return {};
+    return std::max(Duration {}, found->second.nextFree + found->second.ownDelay - now);
+}
+
+std::vector<RateLimitReport> UpstreamRateLimits::takeReports(TimePoint now)
+{
+    std::vector<RateLimitReport> reports;
+    for (auto &[upstream, entry] : m_entries) {
+        if (!entry.reportDue)
+            continue;
+        entry.reportDue = false;
+        entry.reportedAt = now;
+        reports.push_back(
+                { .upstream = upstream, .limit = entry.limit, .age = now - entry.namedAt });
+    }
+    return reports;
+}
+
+void UpstreamRateLimits::expire(TimePoint now)
+{
+    std::erase_if(m_entries, [now](const auto &entry) {
+        return now - entry.second.namedAt >= confirmationTimeout;
+    });
 }
 
 } // namespace Lavenderpick
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -191,6 +191,31 @@
     return usable.empty() ? upstreams : usable;
 }
 
+std::vector<const UpstreamRecord *>
+Exchange::withinRateLimits(const std::vector<const UpstreamRecord *> &upstreams) const
+{
+    std::vector<const UpstreamRecord *> usable;
+    usable.reserve(upstreams.size());
+    for (const UpstreamRecord *record : upstreams) {
+        if (m_state.mayUse(*record))
+            usable.push_back(record);
+    }
+    return usable;
+}
+
+std::optional<Duration> Exchange::timeUntilRateLimitAllows() const
+{
+    std::optional<Duration> earliest;
+    for (const UpstreamRecord *record : m_state.upstreams.ready(m_service)) {
+        if (m_history.failedUpstreams().contains(record->id)
+            || !m_state.rateLimits.limit(record->id))
+            continue;
+        const Duration wait = m_state.rateLimits.timeUntilAllowed(record->id, m_state.clock.now());
+        earliest = std::min(earliest.value_or(wait), wait);
+    }
+    return earliest;
+}
+
 void Exchange::dispatch()
 {
     if (remaining() < minimumTimeToSend) {
@@ -252,7 +277,7 @@
                                const PlacementRequest &request) const
 {
     const ServiceProfile *profile = m_configuration->findService(m_service);
-    const std::vector<const UpstreamRecord *> usable = withoutOutliers(upstreams);
+    const std::vector<const UpstreamRecord *> usable = withinRateLimits(withoutOutliers(upstreams));
     const TimePoint now = m_state.clock.now();
     if (profile != nullptr && profile->engine && m_size)
         return m_state.placer.placeGeneration(request, *profile->engine, usable, m_state.ledger,
@@ -265,7 +290,8 @@
     const TimePoint now = m_state.clock.now();
     m_decision = choosePlacement(makePlacementRequest());
     if (!m_decision.isPlaced()) {
-        refuseUnplaced();
+        if (!waitForRateLimit())
+            refuseUnplaced();
         return;
     }
     if (waitForBetterPlacement())
@@ -315,10 +341,27 @@
             && now + fromMilliseconds(m_decision.predictedFirstEventMs) <= firstEventDue;
     if (isAcceptable || now >= latestStart)
         return false;
-    m_waitingId = m_state.waiting.add(*this, latestStart);
+    waitForPlacement(latestStart);
+    return true;
+}
+
+bool Exchange::waitForRateLimit()
+{
+    // Without a limit in the way, waiting for upstreams that take no more requests is of no use.
+    const std::optional<Duration> wait = timeUntilRateLimitAllows();
+    const TimePoint due = m_arrivedAt + m_route->objective;
+    const TimePoint now = m_state.clock.now();
+    if (!wait || *wait <= Duration {} || now + *wait >= due)
+        return false;
+    waitForPlacement(due);
     return true;
 }
 
+void Exchange::waitForPlacement(TimePoint latestStart)
+{
+    m_waitingId = m_state.waiting.add(*this, latestStart);
+}
+
 void Exchange::retryPlacement()
 {
     const auto self = shared_from_this();
@@ -337,6 +380,11 @@
 {
     if (!m_history.hasNotRun() || m_writer.hasBegun())
         failRequest("no_upstream");
+    else if (const auto wait = timeUntilRateLimitAllows(); wait && !m_decision.retryAfter)
+        refuse(503, RefusalReason::UpstreamRateLimit,
+               "All upstreams are at the limits that they named.",
+               defaultRetryAfter
+                       + fromMilliseconds(inMilliseconds(*wait) * (1 + m_state.random.unit())));
     else if (m_decision.retryAfter)
         refuse(503, RefusalReason::QueueFull, "No upstream can answer in time.",
                m_decision.retryAfter);
@@ -445,7 +493,7 @@
     if (m_state.dialect.isMisdirected(head))
         return;
     const std::optional<double> limit = m_state.dialect.rateLimit(head);
-    if (!m_state.rateLimits.recordNamed(m_decision.upstream, limit))
+    if (!m_state.rateLimits.recordNamed(m_decision.upstream, limit, m_state.clock.now()))
         return;
     log(LogLevel::Info, "exchange", limit ? "upstream named a limit" : "upstream named no limit",
         { { "request_id", m_requestId },
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -49,6 +49,8 @@
     void retryPlacement() override;
     Duration expectedDuration() const;
     bool waitForBetterPlacement();
+    bool waitForRateLimit();
+    void waitForPlacement(TimePoint latestStart);
     void stopWaiting();
     void refuseUnplaced();
     void place();
@@ -61,6 +63,9 @@
     int priority() const;
     PlacementRequest makePlacementRequest() const;
     std::vector<const UpstreamRecord *>
+    withinRateLimits(const std::vector<const UpstreamRecord *> &upstreams) const;
+    std::optional<Duration> timeUntilRateLimitAllows() const;
+    std::vector<const UpstreamRecord *>
     withoutOutliers(const std::vector<const UpstreamRecord *> &upstreams) const;
     void sendAttempt();
     std::string formatRequestHead(const UpstreamRecord &record) const;
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -109,12 +109,15 @@
     const std::size_t gatewayCount = m_peerExchange.directory().gatewayCount();
     m_state.retryBudget.setGatewayCount(gatewayCount);
     m_state.pool.setGatewayCount(gatewayCount);
+    m_state.rateLimits.setGateways(m_peerExchange.groupSize(),
+                                   m_peerExchange.directory().aliveShare(now));
     m_state.peerIsReady = m_peerExchange.directory().hasReadyPeer(now);
     updateZoneLocality();
     for (const std::string &id : m_state.upstreams.expire(now))
         forgetUpstream(id);
     m_state.ledger.expire(now);
     m_state.quarantine.update(now);
+    m_state.rateLimits.expire(now);
     m_state.pool.trimIdleConnections(now);
     const std::vector<std::shared_ptr<InboundConnection>> connections(m_connections.begin(),
                                                                       m_connections.end());
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -1,5 +1,7 @@
 #include "Services/Gateway/GatewayState.h"
 
+#include <algorithm>
+
 namespace Lavenderpick {
 
 namespace {
@@ -30,6 +32,7 @@
     , placer(PlacerSettings {}, randomToUse)
     , retryBudget(settings.retryBudget)
     , outliers(outlierSettings())
+    , rateLimits(randomToUse)
     , stop(settings.stopGrace)
     , pool(contextToUse, clockToRead, ledger)
     , waiting(contextToUse)
@@ -57,6 +60,25 @@
     return profile == nullptr ? 0 : profile->maximumConnections;
 }
 
+bool GatewayState::mayUse(const UpstreamRecord &record) const
+{
+    if (!rateLimits.limit(record.id))
+        return true;
+    // This gateway does not know what those of another zone send there.
+    if (subset.isOwnZoneOnly() && record.availabilityZone != settings.availabilityZone
+        && isServedInOwnZone(record.service))
+        return false;
+    return rateLimits.timeUntilAllowed(record.id, clock.now()) == Duration {};
+}
+
+bool GatewayState::isServedInOwnZone(const std::string &service) const
+{
+    const auto &ready = upstreams.ready(service);
+    return std::any_of(ready.begin(), ready.end(), [this](const UpstreamRecord *record) {
+        return record->availabilityZone == settings.availabilityZone;
+    });
+}
+
 void GatewayState::keepConnection(const std::string &upstream,
                                   std::shared_ptr<HttpConnection> connection)
 {
@@ -70,12 +92,19 @@
 PlacementKey GatewayState::beginPlacement(const Placement &placement)
 {
     PlacementKey key { .gateway = settings.name, .number = ++lastPlacementNumber };
-    ledger.begin(key, placement, clock.now());
+    recordPlacement(key, placement);
     if (placementObserver != nullptr)
         placementObserver->placed(key, placement);
     return key;
 }
 
+void GatewayState::recordPlacement(const PlacementKey &key, const Placement &placement)
+{
+    ledger.begin(key, placement, clock.now());
+    if (!placement.parts.empty())
+        rateLimits.recordSent(placement.parts.front().upstream, clock.now());
+}
+
 void GatewayState::markPrefilled(const PlacementKey &key)
 {
     ledger.markPrefilled(key, clock.now());
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -85,9 +85,18 @@
     /// limit.
     int maximumConnections(const std::string &service) const;
 
+    /// Whether the limit that the upstream names allows a request now.
+    bool mayUse(const UpstreamRecord &record) const;
+
+    /// Whether the service has a ready upstream in this gateway's availability zone.
+    bool isServedInOwnZone(const std::string &service) const;
+
     /// Returns a connection to the pool for reuse; abandons it if the upstream is no longer listed.
     void keepConnection(const std::string &upstream, std::shared_ptr<HttpConnection> connection);
 
+    /// Records the placement of any gateway.
+    void recordPlacement(const PlacementKey &key, const Placement &placement);
+
     PlacementKey beginPlacement(const Placement &placement);
     void markPrefilled(const PlacementKey &key);
     void endPlacement(const PlacementKey &key);
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -49,6 +49,21 @@
              entry.change.record ? entry.change.record->toJson() : nlohmann::json() };
 }
 
+nlohmann::json encodeRateLimit(const RateLimitReport &report)
+{
+    return { report.upstream, report.limit ? nlohmann::json(*report.limit) : nlohmann::json(),
+             toMilliseconds(report.age) };
+}
+
+RateLimitReport decodeRateLimit(const nlohmann::json &json)
+{
+    RateLimitReport report { .upstream = json.at(0).get<std::string>(),
+                             .age = Milliseconds(json.at(2).get<std::int64_t>()) };
+    if (!json.at(1).is_null())
+        report.limit = json.at(1).get<double>();
+    return report;
+}
+
 UpstreamChangeSet::Entry decodeChange(const nlohmann::json &json)
 {
     UpstreamChangeSet::Entry entry { .revision = json.at(0).get<std::int64_t>(),
@@ -260,6 +275,7 @@
     try {
         handleChanges(message, now);
         handlePrompts(message, report.availabilityZone, now);
+        handleRateLimits(message, now);
     } catch (const nlohmann::json::exception &error) {
         throw Error(ErrorKind::InvalidMessage, std::string("malformed report: ") + error.what(),
                     "Run the same version on all gateways.");
@@ -301,6 +317,14 @@
             isGroup ? PromptQuarantine::Origin::Group : PromptQuarantine::Origin::Other, now);
 }
 
+void PeerExchange::handleRateLimits(const nlohmann::json &message, TimePoint now)
+{
+    if (!message.contains("rate_limits"))
+        return;
+    for (const nlohmann::json &report : message.at("rate_limits"))
+        m_state.rateLimits.applyReport(decodeRateLimit(report), now);
+}
+
 void PeerExchange::handleRevision(std::int64_t revision, const std::string &sender, TimePoint now)
 {
     if (revision <= m_state.configurationRevision) {
@@ -342,7 +366,7 @@
                                         .prefillMs = part.at(1).get<double>(),
                                         .kvCacheTokens = part.at(2).get<std::int64_t>(),
                                         .decodes = placement.parts.empty() });
-        m_state.ledger.begin(key, placement, now);
+        m_state.recordPlacement(key, placement);
     } catch (const nlohmann::json::exception &error) {
         throw Error(ErrorKind::InvalidMessage, std::string("malformed event: ") + error.what(),
                     "Run the same version on all gateways.");
@@ -472,6 +496,7 @@
     if (now >= m_nextHeartbeatAt)
         sendHeartbeat(now);
     sendQuarantineNews(now);
+    sendRateLimits(now);
     if (now >= m_nextZoneReportAt)
         reportToOtherZones(now);
 }
@@ -495,6 +520,17 @@
     sendTo(m_group, datagram);
 }
 
+void PeerExchange::sendRateLimits(TimePoint now)
+{
+    const std::vector<RateLimitReport> reports = m_state.rateLimits.takeReports(now);
+    if (!m_socket.is_open() || reports.empty())
+        return;
+    nlohmann::json datagram = makeDatagram(nlohmann::json::array());
+    for (const RateLimitReport &report : reports)
+        datagram["rate_limits"].push_back(encodeRateLimit(report));
+    sendTo(m_group, datagram);
+}
+
 void PeerExchange::reportToOtherZones(TimePoint now)
 {
     m_nextZoneReportAt = now + SpareEngines::reportInterval;
@@ -515,7 +551,8 @@
         if (!service.engine)
             continue;
         for (const UpstreamRecord *record : m_state.upstreams.ready(service.name)) {
-            if (record->availabilityZone == m_state.settings.availabilityZone)
+            if (record->availabilityZone == m_state.settings.availabilityZone
+                && !m_state.rateLimits.limit(record->id))
                 engines.push_back(record);
         }
     }
--- a/Services/Gateway/PeerExchange.h
+++ b/Services/Gateway/PeerExchange.h
@@ -55,6 +55,9 @@
     /// Reports what is quarantined with the next sweep. Called when it changes.
     void quarantineChanged() { m_nextHeldReportAt = {}; }
 
+    /// Gateways that share placements, this one included.
+    std::size_t groupSize() const { return m_group.size() + 1; }
+
     const PeerDirectory &directory() const { return m_directory; }
 
     void sweep(TimePoint now);
@@ -73,6 +76,7 @@
     std::vector<Endpoint> resolve(const std::vector<std::string> &addresses);
     void receive();
     void handleMessage(const nlohmann::json &message, const std::string &sender);
+    void handleRateLimits(const nlohmann::json &message, TimePoint now);
     void handleRevision(std::int64_t revision, const std::string &sender, TimePoint now);
     void handleChanges(const nlohmann::json &message, TimePoint now);
     void handlePrompts(const nlohmann::json &message, const std::string &zone, TimePoint now);
@@ -82,6 +86,7 @@
     void flush(TimePoint now);
     void sendHeartbeat(TimePoint now);
     void sendQuarantineNews(TimePoint now);
+    void sendRateLimits(TimePoint now);
     void reportToOtherZones(TimePoint now);
     std::vector<std::string> spareEngines(TimePoint now) const;
     void sendOpenPlacements(const std::string &peer);
--- a/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
+++ b/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
@@ -261,4 +261,53 @@
     BOOST_CHECK_EQUAL(response->body, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
 }
 
+BOOST_AUTO_TEST_CASE(upstreamGetsNoMoreRequestsThanTheLimitThatItNames)
+{
+    const auto respond = [](const std::string &extraHeaders) {
+        return [=](const ReceivedRequest &request, const Peer &peer) {
+            peer->write(makeResponse(request.header("Request-Id"), "done", 200,
+                                     "Proof: p\r\n" + extraHeaders));
+        };
+    };
+    const auto &limited = addUpstream("u1", respond("Rate-Limit: 2\r\n"));
+    std::vector<std::shared_ptr<CallerResponse>> responses;
+    // Ten requests a second for eight seconds; some wait for their turn.
+    for (int index = 0; index < 80; ++index) {
+        responses.push_back(send("/once/", "r" + std::to_string(index)));
+        runUntil([&] { return responses.back()->isDone(); }, std::chrono::milliseconds(30));
+        advance(Milliseconds(100));
+    }
+    int served = 0;
+    int refused = 0;
+    for (const auto &response : responses) {
+        runUntil([&] { return response->isDone(); });
+        served += response->status == 200 ? 1 : 0;
+        refused += response->status == 503 && !response->header("Retry-After").empty() ? 1 : 0;
+    }
+    BOOST_CHECK_LE(limited.received().size(), 8 * 2 + 2);
+    BOOST_CHECK_GE(served, 8);
+    BOOST_CHECK_EQUAL(served + refused, 80);
+    // Another upstream takes the rest.
+    const auto &free = addUpstream("u2", respond(""));
+    for (int index = 0; index < 20; ++index)
+        BOOST_CHECK_EQUAL(sendAndWait("/once/", "s" + std::to_string(index))->status, 200);
+    BOOST_CHECK_GE(free.received().size(), 18);
+}
+
+BOOST_AUTO_TEST_CASE(limitThatIsNoLongerNamedIsLifted)
+{
+    bool isLimited = true;
+    addUpstream("u1", [&](const ReceivedRequest &request, const Peer &peer) {
+        peer->write(makeResponse(request.header("Request-Id"), "done", 200,
+                                 isLimited ? "Proof: p\r\nRate-Limit: 1\r\n" : "Proof: p\r\n"));
+    });
+    sendAndWait("/once/");
+    sendAndWait("/once/");
+    BOOST_CHECK_EQUAL(sendAndWait("/once/")->status, 503);
+    isLimited = false;
+    advance(Seconds(3));
+    for (int index = 0; index < 10; ++index)
+        BOOST_CHECK_EQUAL(sendAndWait("/once/")->status, 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/lavenderpick/Base/Reasons.h
+++ b/include/lavenderpick/Base/Reasons.h
@@ -41,9 +41,10 @@
     UpstreamFailed,
     NotFound,
     QuarantinedPrompt,
+    UpstreamRateLimit,
 };
 
-constexpr int refusalReasonCount = static_cast<int>(RefusalReason::QuarantinedPrompt) + 1;
+constexpr int refusalReasonCount = static_cast<int>(RefusalReason::UpstreamRateLimit) + 1;
 
 std::string_view toString(RefusalReason reason);
 
--- a/include/lavenderpick/Forward/PeerDirectory.h
+++ b/include/lavenderpick/Forward/PeerDirectory.h
@@ -97,6 +97,10 @@
     /// Whether the gateway at this address belongs to this one's group.
     bool isInGroup(const std::string &address) const;
 
+    /// The share of the group's gateways, this one included, that are alive. Those that have been
+    /// silent for `silenceTimeout` don't count.
+    double aliveShare(TimePoint now) const;
+
     /// Whether a live peer is ready for callers.
     bool hasReadyPeer(TimePoint now) const;
 
--- a/include/lavenderpick/Forward/UpstreamSubset.h
+++ b/include/lavenderpick/Forward/UpstreamSubset.h
@@ -31,6 +31,8 @@
     /// `maximumSize` in all.
     void setOwnZoneOnly(bool ownZoneOnly) { m_ownZoneOnly = ownZoneOnly; }
 
+    bool isOwnZoneOnly() const { return m_ownZoneOnly; }
+
     /// The ready upstreams of the service that this gateway uses: all of them up to `maximumSize`.
     /// Valid until the directory changes.
     const std::vector<const UpstreamRecord *> &select(const UpstreamDirectory &directory,
