--- a/Libraries/LibForward/UpstreamRateLimits.cpp
+++ b/Libraries/LibForward/UpstreamRateLimits.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// The rest covers requests of peers whose datagrams are lost.
-constexpr double usableShare = 0.9;
 // Requests that may follow each other at once after a pause.
 constexpr int burst = 2;
 // A peer's datagram takes some milliseconds, and its event loop may be busy for longer.
@@ -62,8 +60,7 @@
 
 Duration UpstreamRateLimits::interval(const Entry &entry) const
 {
-    const double rate =
-            std::max(minimumRate, usableShare * m_reachableShare * entry.limit.value_or(0));
+    const double rate = std::max(minimumRate, m_reachableShare * entry.limit.value_or(0));
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / rate));
 }
 
