--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -768,6 +768,7 @@
           { "detail", message },
           { "route", m_route == nullptr ? "" : m_route->name },
           { "service", m_service },
+          { "prompt_parts", m_promptParts },
           { "upstreams", m_state.upstreams.ready(m_service).size() },
           { "configuration", m_configuration ? m_configuration->version() : 0 },
           { "elapsed_ms", roundedMs(m_state.clock.now() - m_arrivedAt) } });
