Placer: Let upstreams at their limits prefill parts of prompts

The engines without a limit had all the prefill of long prompts, because an engine without a free place was left out altogether.

Cause: the limit is in requests; helping to prefill takes none of them, and an engine refuses help that is too much for it.

--- a/Libraries/LibForward/Placer.cpp
+++ b/Libraries/LibForward/Placer.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace Lavenderpick {
 
@@ -54,6 +55,7 @@
         result.push_back({
                 .record = record,
                 .load = &load,
+                .mayDecode = !request.helpersOnly.contains(record->id),
                 .prefillWaitMs = load.prefillWaitMs(now),
                 .decodePassMs = decodePassMs(engine, load.decodingRequests(), load.contextTokens()),
                 .prefillBias = weight
@@ -112,7 +114,7 @@
                               std::int64_t neededTokens)
 {
     const auto fits = [neededTokens](const Candidate &candidate) {
-        return candidate.freeKvCacheTokens >= neededTokens;
+        return candidate.mayDecode && candidate.freeKvCacheTokens >= neededTokens;
     };
     // Prefers the lowest decode bias among the prefilling upstreams, else the cheapest that fits.
     auto best = candidates.end();
@@ -124,10 +126,12 @@
         best = std::find_if(candidates.begin(), candidates.end(), fits);
     if (best != candidates.end())
         return best;
-    return std::max_element(candidates.begin(), candidates.begin() + parts,
-                            [](const Candidate &a, const Candidate &b) {
-                                return a.freeKvCacheTokens < b.freeKvCacheTokens;
-                            });
+    const auto most = std::max_element(candidates.begin(), candidates.begin() + parts,
+                                       [](const Candidate &a, const Candidate &b) {
+                                           return std::pair(a.mayDecode, a.freeKvCacheTokens)
+                                                   < std::pair(b.mayDecode, b.freeKvCacheTokens);
+                                       });
+    return most->mayDecode ? most : candidates.end();
 }
 
 std::optional<PlacementDecision> Placer::placeParts(const PlacementRequest &request,
@@ -152,6 +156,8 @@
               [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
     const std::int64_t needed = request.size.promptTokens + request.size.maximumOutputTokens;
     const auto decodeCandidate = chooseDecodeCandidate(candidates, parts, needed);
+    if (decodeCandidate == candidates.end())
+        return std::nullopt;
     std::rotate(candidates.begin(), decodeCandidate, decodeCandidate + 1);
     PlacementDecision decision;
     std::int64_t missingKvCacheTokens = needed - candidates.front().freeKvCacheTokens;
@@ -208,6 +214,9 @@
                                           const LoadLedger &ledger, TimePoint now) const
 {
     std::vector<Candidate> all = candidates(request, engine, upstreams, ledger, now);
+    if (std::none_of(all.begin(), all.end(),
+                     [](const Candidate &candidate) { return candidate.mayDecode; }))
+        return {};
     std::optional<PlacementDecision> best;
     constexpr std::array partCounts { 1, 2, 3, 4, 6, 8, 11, 14, 17 };
     const bool maySplit = !isShort(engine, request.size);
@@ -231,8 +240,6 @@
                 + minimumDecodeWaitMs(engine, all, request.size);
         return decision;
     }
-    if (all.empty())
-        return decision;
     // Callers that return together find the same queue, so the delay lasts until the queue is short
     // enough to meet the objective. Without KV cache for the prompt, the shortest prefill queue is
     // the estimate of when some is free.
@@ -252,7 +259,7 @@
 {
     PlacementDecision decision;
     for (const UpstreamRecord *record : upstreams) {
-        if (!request.allows(*record, ledger))
+        if (!request.allows(*record, ledger) || request.helpersOnly.contains(record->id))
             continue;
         const double taken = static_cast<double>(ledger.load(record->id).open().size())
                 / std::max(1, record->capacity);
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -175,6 +175,7 @@
         .gapObjective = isStream() ? m_route->gapObjective : Duration {},
         .availabilityZone = m_state.settings.availabilityZone,
         .excluded = m_history.failedUpstreams(),
+        .helpersOnly = m_state.upstreamsAtLimit(m_service),
         .maximumOpenRequests = m_state.maximumConnections(m_service),
     };
 }
@@ -191,18 +192,6 @@
     return usable.empty() ? upstreams : usable;
 }
 
-std::vector<const UpstreamRecord *>
-Exchange::withinRateLimits(const std::vector<const UpstreamRecord *> &upstreams) const
-{
-    std::vector<const UpstreamRecord *> usable;
-    usable.reserve(upstreams.size());
-    for (const UpstreamRecord *record : upstreams) {
-        if (m_state.mayUse(*record))
-            usable.push_back(record);
-    }
-    return usable;
-}
-
 std::optional<Duration> Exchange::timeUntilRateLimitAllows() const
 {
     std::optional<Duration> earliest;
@@ -277,7 +266,7 @@
                                const PlacementRequest &request) const
 {
     const ServiceProfile *profile = m_configuration->findService(m_service);
-    const std::vector<const UpstreamRecord *> usable = withinRateLimits(withoutOutliers(upstreams));
+    const std::vector<const UpstreamRecord *> usable = withoutOutliers(upstreams);
     const TimePoint now = m_state.clock.now();
     if (profile != nullptr && profile->engine && m_size)
         return m_state.placer.placeGeneration(request, *profile->engine, usable, m_state.ledger,
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -62,8 +62,6 @@
                                            const PlacementRequest &request) const;
     int priority() const;
     PlacementRequest makePlacementRequest() const;
-    std::vector<const UpstreamRecord *>
-    withinRateLimits(const std::vector<const UpstreamRecord *> &upstreams) const;
     std::optional<Duration> timeUntilRateLimitAllows() const;
     std::vector<const UpstreamRecord *>
     withoutOutliers(const std::vector<const UpstreamRecord *> &upstreams) const;
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -60,6 +60,18 @@
     return profile == nullptr ? 0 : profile->maximumConnections;
 }
 
+std::set<std::string> GatewayState::upstreamsAtLimit(const std::string &service) const
+{
+    std::set<std::string> atLimit;
+    if (rateLimits.isEmpty())
+        return atLimit;
+    for (const UpstreamRecord *record : upstreams.ready(service)) {
+        if (!mayUse(*record))
+            atLimit.insert(record->id);
+    }
+    return atLimit;
+}
+
 bool GatewayState::mayUse(const UpstreamRecord &record) const
 {
     if (!rateLimits.limit(record.id))
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -20,6 +20,7 @@
 #include "lavenderpick/Retry/OutlierDetector.h"
 
 #include <memory>
+#include <set>
 
 namespace Lavenderpick {
 
@@ -85,6 +86,9 @@
     /// limit.
     int maximumConnections(const std::string &service) const;
 
+    /// Ready upstreams of the service whose limits allow no further request now.
+    std::set<std::string> upstreamsAtLimit(const std::string &service) const;
+
     /// Whether the limit that the upstream names allows a request now.
     bool mayUse(const UpstreamRecord &record) const;
 
--- a/Tests/LibForward/TestPlacer.cpp
+++ b/Tests/LibForward/TestPlacer.cpp
@@ -359,6 +359,21 @@
     BOOST_CHECK(!none.isPlaced() && !none.retryAfter);
 }
 
+BOOST_AUTO_TEST_CASE(upstreamsAtTheirLimitOnlyHelp)
+{
+    PlacementRequest limited = request(archive);
+    limited.helpersOnly = { "a", "b", "c" };
+    const auto split = placer.placeGeneration(limited, engine, upstreams, ledger, start);
+    BOOST_CHECK_EQUAL(split.upstream, "d");
+    BOOST_CHECK_GE(split.helpers.size(), 2);
+    BOOST_CHECK_LT(split.predictedFirstEventMs, archive.objectiveMs / 2);
+    limited.helpersOnly.insert("d");
+    const auto none = placer.placeGeneration(limited, engine, upstreams, ledger, start);
+    BOOST_CHECK(!none.isPlaced());
+    BOOST_CHECK(!none.retryAfter);
+    BOOST_CHECK(!placer.placeCall(limited, upstreams, ledger, start).isPlaced());
+}
+
 BOOST_AUTO_TEST_CASE(callsGoToTheLeastUtilizedUpstream)
 {
     open("a", reply, 0);
--- a/include/lavenderpick/Forward/Placer.h
+++ b/include/lavenderpick/Forward/Placer.h
@@ -21,6 +21,8 @@
     Duration gapObjective {};
     std::string availabilityZone;   ///< Of this gateway.
     std::set<std::string> excluded; ///< Upstreams that failed this request already.
+    /// Upstreams that take no further request now, but may prefill parts of a prompt.
+    std::set<std::string> helpersOnly {};
     /// Limit on the requests open at an upstream from all gateways, each of which needs a
     /// connection. Zero means no limit. Prompts that the upstream only helps to prefill count too,
     /// although they need no connection.
@@ -128,6 +130,7 @@
     {
         const UpstreamRecord *record { nullptr };
         const UpstreamLoad *load { nullptr };
+        bool mayDecode { true };
         double prefillWaitMs { 0 }; ///< Until the open prompts are prefilled.
         double decodePassMs { 0 };
         double prefillBias { 0 }; ///< Cost of zone and jitter.
@@ -151,7 +154,7 @@
     double latenessCost(double firstEventMs, const PlacementRequest &request) const;
     double interferenceCost(const Candidate &candidate, double prefillMs, TimePoint now) const;
     /// Chooses the upstream that decodes: one with enough free KV cache for the whole request if
-    /// possible, else the one with the most among the first `parts`.
+    /// possible, else the one with the most among the first `parts`. The end if none of them may.
     static std::vector<Candidate>::iterator
     chooseDecodeCandidate(std::vector<Candidate> &candidates, int parts, std::int64_t neededTokens);
     std::optional<PlacementDecision> placeParts(const PlacementRequest &request,
--- a/include/lavenderpick/Forward/UpstreamRateLimits.h
+++ b/include/lavenderpick/Forward/UpstreamRateLimits.h
@@ -59,6 +59,8 @@
     /// Empty if the upstream names none.
     std::optional<double> limit(const std::string &upstream) const;
 
+    bool isEmpty() const { return m_entries.empty(); }
+
     /// Time until this gateway may send a request to the upstream; zero if it may send one now.
     Duration timeUntilAllowed(const std::string &upstream, TimePoint now) const;
 
