--- a/Tests/Processes/JobTakeOverTest.py
+++ b/Tests/Processes/JobTakeOverTest.py
@@ -62,8 +62,8 @@
             check_paused_holder(fleet, first, second)
             check_crashed_holder(fleet, first, second)
         except BaseException:
-            for name in fleet.processes:
-                print(f"--- {name}\n" + fleet.log(name)[-3000:])
+            for name, process in fleet.processes.items():
+                print(f"--- {name}, exit code {process.poll()}\n" + fleet.log(name)[-3000:])
             raise
     print("passed")
 
