PromptQuarantine: Bound reports and evidence of prompts with long lists of parts

The evidence held up to 256 crashes of 64 prompts with all their parts, and a report up to 128 prompts, so that a caller's list of 1,000 parts would have used up the memory of a small VM and exceeded a datagram. 32 parts of a prompt are regarded, 128 crashes and 64 prompts a report kept.

--- a/Libraries/LibForward/CrashEvidence.cpp
+++ b/Libraries/LibForward/CrashEvidence.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t maximumCrashes = 256;
+constexpr std::size_t maximumCrashes = 128;
 constexpr std::size_t maximumPromptsPerCrash = 64;
 constexpr std::size_t maximumSoundParts = 4'096;
 constexpr std::size_t maximumCompletions = 1'024;
--- a/Libraries/LibForward/PromptQuarantine.cpp
+++ b/Libraries/LibForward/PromptQuarantine.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::size_t maximumEntries = 64;
-// One datagram holds about 64 KiB; a broken attempt takes some 60 bytes.
-constexpr std::size_t maximumBrokenPerReport = 128;
+// One datagram holds about 64 KiB; with its longest list of parts a broken attempt takes 0.5 KiB.
+constexpr std::size_t maximumBrokenPerReport = 64;
 constexpr std::size_t maximumSoundPerReport = 128;
 constexpr Duration answerInterval { Milliseconds(500) };
 // Peers that decided at slightly different times don't extend each other's quarantine.
@@ -54,10 +54,13 @@
     return longest;
 }
 
-void PromptQuarantine::recordBroken(const BrokenAttempt &attempt, TimePoint now)
+void PromptQuarantine::recordBroken(BrokenAttempt attempt, TimePoint now)
 {
-    if (!attempt.promptParts.empty())
-        appendBounded(m_news.broken, attempt, maximumBrokenPerReport);
+    if (attempt.promptParts.empty())
+        return;
+    if (attempt.promptParts.size() > CrashEvidence::maximumParts)
+        attempt.promptParts.resize(CrashEvidence::maximumParts);
+    appendBounded(m_news.broken, attempt, maximumBrokenPerReport);
     addEvidence(attempt, Origin::Own, now);
 }
 
--- a/Tests/LibForward/TestPromptQuarantine.cpp
+++ b/Tests/LibForward/TestPromptQuarantine.cpp
@@ -286,6 +286,17 @@
     BOOST_CHECK(!quarantine.holdTime({ "x" }, end));
 }
 
+BOOST_AUTO_TEST_CASE(reportsOfLongListsOfPartsAreBounded)
+{
+    PromptQuarantine quarantine;
+    const std::vector<std::string> parts(1'000, "part");
+    for (int index = 0; index < 1'000; ++index)
+        quarantine.recordBroken({ .upstream = "u", .promptParts = parts }, start);
+    const QuarantineNews news = quarantine.takeNews();
+    BOOST_CHECK_LE(news.broken.size(), 64);
+    BOOST_CHECK_EQUAL(news.broken.front().promptParts.size(), CrashEvidence::maximumParts);
+}
+
 BOOST_AUTO_TEST_CASE(completedPromptEndsTheQuarantineAtAllGateways)
 {
     PromptQuarantine first;
--- a/include/lavenderpick/Forward/CrashEvidence.h
+++ b/include/lavenderpick/Forward/CrashEvidence.h
@@ -50,6 +50,8 @@
     static constexpr Duration settlingTime { Milliseconds(200) };
     /// Crashes and completions are remembered for this long.
     static constexpr Duration memory { Seconds(30) };
+    /// Parts of one prompt that are regarded, so that long lists use up neither memory nor packets.
+    static constexpr std::size_t maximumParts = 32;
     static constexpr std::size_t minimumMoments = 3;
     /// A part that was sound before is suspected only after more crashes, and only if it has not
     /// been completed for `soundTime`.
--- a/include/lavenderpick/Forward/PromptQuarantine.h
+++ b/include/lavenderpick/Forward/PromptQuarantine.h
@@ -76,7 +76,7 @@
                                      TimePoint now) const;
 
     /// Records that the upstream broke off this gateway's request.
-    void recordBroken(const BrokenAttempt &attempt, TimePoint now);
+    void recordBroken(BrokenAttempt attempt, TimePoint now);
 
     /// Records a complete response to this gateway's request, which was sent at `sentAt`.
     void recordCompleted(const std::vector<std::string> &promptParts, TimePoint sentAt,
