--- a/Tests/ServiceAgent/AgentFixture.h
+++ b/Tests/ServiceAgent/AgentFixture.h
@@ -11,6 +11,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <iostream>
 #include <thread>
 
 namespace Lavenderpick {
@@ -108,16 +109,21 @@
         const std::string body = json.is_null() ? "" : json.dump();
         HttpClient client("127.0.0.1:" + std::to_string(port), m_clock);
         ServerSentEventParser parser;
-        return client.stream({ .method = method,
-                               .path = path,
-                               .body = body,
-                               .headers = headers(method, path, body),
-                               .timeout = Seconds(3) },
-                             [&](std::string_view piece) {
-                                 return parser.feed(piece, [&](std::string_view data) {
-                                     return receiver(AttemptEvent::parse(parseJson(data, "event")));
-                                 });
-                             });
+        HttpResponse response = client.stream(
+                { .method = method,
+                  .path = path,
+                  .body = body,
+                  .headers = headers(method, path, body),
+                  .timeout = Seconds(3) },
+                [&](std::string_view piece) {
+                    return parser.feed(piece, [&](std::string_view data) {
+                        return receiver(AttemptEvent::parse(parseJson(data, "event")));
+                    });
+                });
+        if (response.status != 200)
+            std::cerr << method << " " << path << ": " << response.status << " " << response.body
+                      << "\n";
+        return response;
     }
 
 private:
