--- a/Meta/check-boundary.sh
+++ b/Meta/check-boundary.sh
@@ -6,7 +6,7 @@
 names=(
     X-Attempt-Id X-Server-Seal X-Token-Counts X-Prompt-Prefix X-Not-Executed X-Instance-Load X-Instance-Id
     X-Expect-Instance X-Expect-Version X-Helper-Instances X-Request-Urgency X-Tenant-Name X-Deadline-Ms
-    X-Model-Name X-Weight-Versions Api-Key rows-tx rows-get rows-feed rows-parts blob-put blob-get
+    X-Model-Name Server-Limit X-Weight-Versions Api-Key rows-tx rows-get rows-feed rows-parts blob-put blob-get
     coldLeftMs routeKind trafficSplit routeWeight sloMs gapTargetMs maxAttempts apiKeys engineParams kvTokens
     tokenStride kvUsed holdMs queueWait tokenCount afterRev waitMs pageLimit setKeys nodeName internalPorts
     seedNodes LAVENDERPICK_NODE_FILE configApplyMs drainMs graceS retrySlack fleetbench
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -435,10 +435,25 @@
         failAttempt(AttemptOutcome::Failed, "response_without_id");
         return;
     }
+    recordRateLimit(head);
     if (head.isSuccess() && (!hasRequestId || head.headers.find(names.signature) == nullptr))
         failAttempt(AttemptOutcome::Failed, "response_without_signature");
 }
 
+void Exchange::recordRateLimit(const ResponseHead &head)
+{
+    if (m_state.dialect.isMisdirected(head))
+        return;
+    const std::optional<double> limit = m_state.dialect.rateLimit(head);
+    if (!m_state.rateLimits.recordNamed(m_decision.upstream, limit))
+        return;
+    log(LogLevel::Info, "exchange", limit ? "upstream named a limit" : "upstream named no limit",
+        { { "request_id", m_requestId },
+          { "upstream", m_decision.upstream },
+          { "status", head.status },
+          { "requests_per_second", limit.value_or(0) } });
+}
+
 void Exchange::bodyArrived(std::string_view bytes)
 {
     if (!m_attemptHead.isSuccess()) {
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -68,6 +68,7 @@
 
     bool isExpected(const ResponseHead &head) override;
     void headArrived(const ResponseHead &head) override;
+    void recordRateLimit(const ResponseHead &head);
     void bodyArrived(std::string_view bytes) override;
     void responseEnded() override;
     void requestFailed(ConnectionFailure failure) override;
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -319,6 +319,7 @@
 {
     m_state.pool.forget(id);
     m_state.outliers.forget(id);
+    m_state.rateLimits.forget(id);
 }
 
 void GatewayProcess::upstreamChangesRead(const UpstreamChangeSet &changes)
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -14,6 +14,7 @@
 #include "lavenderpick/Forward/SpareEngines.h"
 #include "lavenderpick/Forward/StalledStreamDetector.h"
 #include "lavenderpick/Forward/UpstreamDirectory.h"
+#include "lavenderpick/Forward/UpstreamRateLimits.h"
 #include "lavenderpick/Forward/UpstreamSubset.h"
 #include "lavenderpick/Forward/WindowedRetryBudget.h"
 #include "lavenderpick/Retry/OutlierDetector.h"
@@ -55,6 +56,7 @@
     WindowedRetryBudget retryBudget;
     OutlierDetector outliers;
     PromptQuarantine quarantine;
+    UpstreamRateLimits rateLimits;
     StalledStreamDetector stalledStreams;
     GracefulShutdown stop;
     UpstreamConnectionPool pool;
--- a/Tests/PlatformAdapter/TestRecordDecoder.cpp
+++ b/Tests/PlatformAdapter/TestRecordDecoder.cpp
@@ -125,6 +125,21 @@
     BOOST_CHECK(dialect.sharedPromptParts({}).empty());
 }
 
+BOOST_AUTO_TEST_CASE(parsesTheLimitThatAnUpstreamNames)
+{
+    const Platform::PlatformDialect dialect;
+    const auto limit = [&](const std::string &text) {
+        ResponseHead head;
+        head.headers.add("server-limit", text);
+        return dialect.rateLimit(head);
+    };
+    BOOST_CHECK(limit("3.5") == 3.5);
+    BOOST_CHECK(limit("0") == 0.0);
+    for (const char *text : { "", "-1", "inf", "nan", "3 a second" })
+        BOOST_CHECK_MESSAGE(!limit(text), text);
+    BOOST_CHECK(!dialect.rateLimit({}));
+}
+
 BOOST_AUTO_TEST_CASE(onlyNotExecutedHeaderOrMisdirectedStatusProvesNotRun)
 {
     const Platform::PlatformDialect dialect;
--- a/Tests/ServiceGateway/GatewayFixture.cpp
+++ b/Tests/ServiceGateway/GatewayFixture.cpp
@@ -34,6 +34,12 @@
     return parts;
 }
 
+std::optional<double> TestDialect::rateLimit(const ResponseHead &response) const
+{
+    const std::string *limit = response.headers.find("Rate-Limit");
+    return limit == nullptr ? std::nullopt : std::optional<double>(std::stod(*limit));
+}
+
 std::string TestDialect::formatHelpers(const std::vector<PrefillHelper> &helpers) const
 {
     std::string list;
--- a/Tests/ServiceGateway/GatewayFixture.h
+++ b/Tests/ServiceGateway/GatewayFixture.h
@@ -23,6 +23,7 @@
     {
         return response.headers.find("Not-Run") != nullptr;
     }
+    std::optional<double> rateLimit(const ResponseHead &response) const override;
     bool isMisdirected(const ResponseHead &response) const override
     {
         return response.status == 421;
--- a/include/lavenderpick/Forward/RequestDialect.h
+++ b/include/lavenderpick/Forward/RequestDialect.h
@@ -73,6 +73,10 @@
     /// Whether a process other than the expected one responded.
     virtual bool isMisdirected(const ResponseHead &response) const = 0;
 
+    /// The requests a second that the upstream takes from all gateways together; empty if the
+    /// response names no limit or it can't be parsed.
+    virtual std::optional<double> rateLimit(const ResponseHead &response) const = 0;
+
     /// Reserves KV cache memory for `tokens` tokens. The reservation expires after `hold`; sending
     /// the call again renews it.
     virtual EngineCall reserveMemory(const std::string &reservation, std::int64_t tokens,
