--- a/review/1/case.py
+++ b/review/1/case.py
@@ -32,7 +32,7 @@
 
     runner = Runner(record, store, "i-report-1", "reports", work=work)
     ending.append(runner)
-    store.transact([("op", "config", manifest(1, [route("report", "safe", "reports", timeoutMs=TIMEOUT_MS)],
+    store.transact([("op", "config", manifest(1, [route("report", "safe", "reports", timeout_ms=TIMEOUT_MS)],
                                               ["reports"])), runner.entry()])
     hosts = ["127.0.1.1", "127.0.1.2"]
     peer_port = free_peer_port(hosts)
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -216,9 +216,10 @@
         handler.respond(200, b"done " + identifier.encode(), headers)
 
 
-def route(name, kind, service, **fields):
-    return {"name": name, "host": "calls.example", "prefix": f"/{name}/", "routeKind": kind, "timeoutMs": 10000,
-            "sloMs": 1000, "priority": 1, "service": service, "maxAttempts": 2, "anonymous": False, **fields}
+def route(name, kind, service, timeout_ms=10000, objective_ms=1000, attempts=2, **fields):
+    return {"name": name, "host": "calls.example", "prefix": f"/{name}/", "routeKind": kind, "timeoutMs": timeout_ms,
+            "sloMs": objective_ms, "priority": 1, "service": service, "maxAttempts": attempts, "anonymous": False,
+            **fields}
 
 
 def manifest(version, routes, services):
