--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -216,6 +216,55 @@
         handler.respond(200, b"done " + identifier.encode(), headers)
 
 
+class Proxy:
+    """Passes channels on to `target`. After `silence`, the channels open by then carry nothing any more."""
+
+    def __init__(self, target, host="127.0.0.1"):
+        self.target = target.rsplit(":", 1)
+        self.listener = socket.create_server((host, 0), backlog=64)
+        self.address = "%s:%d" % self.listener.getsockname()
+        self.channels = []
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                near, _ = self.listener.accept()
+                far = socket.create_connection((self.target[0], int(self.target[1])))
+            except OSError:
+                return
+            channel = {"silent": False, "sockets": (near, far)}
+            self.channels.append(channel)
+            for source, sink in ((near, far), (far, near)):
+                source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                threading.Thread(target=self.pump, args=(channel, source, sink), daemon=True).start()
+
+    @staticmethod
+    def pump(channel, source, sink):
+        try:
+            while data := source.recv(65536):
+                if not channel["silent"]:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        if not channel["silent"]:
+            for end in channel["sockets"]:
+                try:
+                    end.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+    def silence(self):
+        for channel in self.channels:
+            channel["silent"] = True
+
+    def stop(self):
+        self.listener.close()
+        for channel in self.channels:
+            for end in channel["sockets"]:
+                end.close()
+
+
 def route(name, kind, service, timeout_ms=10000, objective_ms=1000, attempts=2, **fields):
     return {"name": name, "host": "calls.example", "prefix": f"/{name}/", "routeKind": kind, "timeoutMs": timeout_ms,
             "sloMs": objective_ms, "priority": 1, "service": service, "maxAttempts": attempts, "anonymous": False,
