--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -45,7 +46,10 @@
 
     def say(self, text):
         self.add(text)
-        print(text, flush=True)
+        try:
+            print(text, flush=True)
+        except BrokenPipeError:
+            pass  # The reader of the output has gone; the record has the line.
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
@@ -73,6 +77,7 @@
         self.server.owner.answer(self)
 
     do_POST = do_GET
+    do_HEAD = do_GET
 
 
 class Server(http.server.ThreadingHTTPServer):
@@ -438,6 +443,8 @@
 def run_case(case_folder, play):
     """Runs `play(record, folder, ending, trouble)`; it returns 0, 1 or 2. Ends all that was started."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ended from outside, a case still ends what it started.
+    signal.signal(signal.SIGTERM, lambda *arguments: sys.exit(2))
     record = Record(os.path.join(case_folder, "record.txt"))
     record.add(f"trouble: {'yes' if trouble else 'no'}")
     ending = []
