--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,78 +1,108 @@
-"""A runner answers HEAD with the head that it would send for GET, which announces chunks."""
+"""The channels to the store go silent for good; meanwhile the entry of a runner is removed."""
 
 import os
 import sys
+import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 
-from stand_ins import Client, Gateway, Runner, Store, free_peer_port, manifest, route, run_case, wait_until
+from stand_ins import (CONTACT_MS, DRAIN_MS, Client, Gateway, Proxy, Runner, Store, free_peer_port, manifest, route,
+                       run_case, wait_until)
 
-ROUNDS = 5
-BODY = b"pages of the season"
+GATEWAYS = 2
+RUNNERS = 3
+WORK_S = 0.2
+TIMEOUT_MS = 3000
+SETTLE_S = 4  # Over the time after which undisturbed processes are in touch.
+REMOVED_AFTER_S = 0.8  # From the moment at which the channels go silent.
+SERVES_ON_S = DRAIN_MS / 1000 + 0.6  # The drain limit "and a little longer".
+WATCHED_S = 4
 
 
 def play(record, folder, ending, trouble):
     store = Store(record)
     ending.append(store)
+    runners = []
+    for number in range(RUNNERS):
+        runners.append(Runner(record, store, f"i-{number:04x}", "desk", delay=WORK_S))
+        ending.append(runners[-1])
+        store.transact([runners[-1].entry()])
+    store.transact([("op", "config", manifest(1, [route("booking", "unsafe", "desk", timeout_ms=TIMEOUT_MS,
+                                                        objective_ms=500, attempts=1)], ["desk"]))])
+    proxy = Proxy(store.address)
+    ending.append(proxy)
+    hosts = [f"127.0.1.{number}" for number in range(1, GATEWAYS + 1)]
+    peer_port = free_peer_port(hosts)
+    gateways = []
+    for number, host in enumerate(hosts, 1):
+        gateways.append(Gateway(record, folder, f"front-{number}", host, peer_port, proxy, [f"{hosts[0]}:1"]))
+        ending.append(gateways[-1])
+    if not wait_until(lambda: all(gateway.is_ready() for gateway in gateways), 20):
+        record.say("the gateways did not become ready")
+        return 2
 
-    def work(runner, handler, identifier, headers):
-        record.add(f"runner {runner.identifier} runs {handler.command} {identifier}")
-        handler.send_response(200)
-        for name, value in headers.items():
-            handler.send_header(name, value)
-        if trouble:
-            handler.send_header("Transfer-Encoding", "chunked")
-        else:
-            handler.send_header("Content-Length", str(len(BODY)))
-        handler.end_headers()
-        if handler.command == "HEAD":
-            return  # A response to HEAD ends with its head, whatever that announces.
-        handler.wfile.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY) if trouble else BODY)
+    calls_end = threading.Event()
+    sent_by = {}
+    outcomes = {}
 
-    runner = Runner(record, store, "i-report-1", "reports", work=work)
-    ending.append(runner)
-    store.transact([("op", "config", manifest(1, [route("report", "safe", "reports")], ["reports"])), runner.entry()])
-    host = "127.0.1.1"
-    gateway = Gateway(record, folder, "front-1", host, free_peer_port([host]), store, [f"{host}:1"])
-    ending.append(gateway)
-    if not wait_until(gateway.is_ready, 15):
-        record.say("the gateway did not become ready")
-        return 2
+    def send_calls(index, gateway):
+        client = None
+        number = 0
+        while not calls_end.is_set():
+            number += 1
+            identifier = f"{index:08x}{number:08x}"
+            try:
+                client = client or Client(gateway)
+                sent_by[identifier] = (gateway.name, time.monotonic())
+                client.send("/booking/1", identifier, TIMEOUT_MS, method="POST", body=b"{}")
+                answer = client.read()
+            except OSError as error:
+                record.add(f"client: {identifier} to {gateway.name}: {error}")
+                client = None
+                continue
+            outcomes[identifier] = answer.status if answer.is_complete else 0
+            record.add(f"client: {identifier} to {gateway.name}: {answer.status} {answer.ended}")
+            if not answer.is_complete or answer.headers.get("connection") == "close":
+                client.close()
+                client = None
 
-    broken = 0
-    for number in range(1, ROUNDS + 1):
-        client = Client(gateway)
-        # A kept channel: a request and its answer, one at a time.
-        client.send("/report/season", f"{number:015x}a", 5000, method="HEAD")
-        head = read_head(client)
-        client.socket.settimeout(0.5)
-        try:
-            unasked = client.pending or client.socket.recv(100)
-        except TimeoutError:
-            unasked = b""
-        record.say(f"round {number}: HEAD answered {head.split(chr(13))[0]!r}; bytes after its end: {unasked!r}")
-        client.socket.settimeout(5)
-        client.pending = unasked
-        client.send("/report/season", f"{number:015x}b", 5000)
-        time.sleep(0.2)
-        following = client.pending + client.socket.recv(4096)
-        record.say(f"round {number}: the next answer on the channel begins with {following[:20]!r}")
-        if not following.startswith(b"HTTP/1.1 "):
-            broken += 1
-        client.close()
-    return 1 if broken else 0
+    threads = [threading.Thread(target=send_calls, args=(index, gateway), daemon=True)
+               for index, gateway in enumerate(gateways * 3, 1)]
+    for thread in threads:
+        thread.start()
+    time.sleep(SETTLE_S)
 
+    silent_at = time.monotonic()
+    if trouble:
+        proxy.silence()
+        record.say("the open channels to the store have gone silent; new ones work")
+    time.sleep(REMOVED_AFTER_S)
+    leaving = runners[0]
+    store.transact(removals=[("servers", leaving.identifier)])
+    removed_at = time.monotonic()
+    record.say(f"the store has removed {leaving.identifier}, {removed_at - silent_at:.2f} s later")
+    time.sleep(SERVES_ON_S)
+    leaving.stop()
+    record.say(f"{leaving.identifier} has exited, {time.monotonic() - removed_at:.2f} s after its removal")
+    time.sleep(WATCHED_S - SERVES_ON_S)
+    calls_end.set()
+    for thread in threads:
+        thread.join(timeout=TIMEOUT_MS / 1000 + 1)
 
-def read_head(client):
-    while b"\r\n\r\n" not in client.pending:
-        data = client.socket.recv(4096)
-        if not data:
-            break
-        client.pending += data
-    head, client.pending = client.pending.split(b"\r\n\r\n", 1)
-    return head.decode("latin-1")
+    # In touch again: the silence of channels counts as a reset of the channels of all machines.
+    in_touch_at = silent_at + (CONTACT_MS / 1000 if trouble else 0)
+    late = [(identifier, at) for at, identifier in leaving.arrivals
+            if sent_by[identifier][1] > in_touch_at and at > removed_at + DRAIN_MS / 1000]
+    for identifier, at in late:
+        record.add(f"late: {identifier} sent by {sent_by[identifier][0]} reaches {leaving.identifier} "
+                   f"{at - removed_at:.3f} s after its removal, {at - silent_at:.3f} s after the silence began")
+    failed = [identifier for identifier, status in outcomes.items() if status not in (200, 429, 503)]
+    record.say(f"{len(sent_by)} calls; {len(late)} reached the removed runner later than the drain limit, from "
+               f"{', '.join(sorted({sent_by[identifier][0] for identifier, _ in late})) or 'no gateway'}")
+    record.say(f"calls without an answer or a promise: {len(failed)}")
+    return 1 if late else 0
 
 
 sys.exit(run_case(HERE, play))
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -10,6 +10,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -222,19 +223,24 @@
 
 
 class Proxy:
-    """Passes channels on to `target`. After `silence`, the channels open by then carry nothing any more."""
+    """Passes channels on to `target`. After `silence`, the channels open by then carry nothing any more. Between
+    `refuse` and `heal`, all channels are reset."""
 
     def __init__(self, target, host="127.0.0.1"):
         self.target = target.rsplit(":", 1)
         self.listener = socket.create_server((host, 0), backlog=64)
         self.address = "%s:%d" % self.listener.getsockname()
         self.channels = []
+        self.refusing = False
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
         while True:
             try:
                 near, _ = self.listener.accept()
+                if self.refusing:
+                    self.reset(near)
+                    continue
                 far = socket.create_connection((self.target[0], int(self.target[1])))
             except OSError:
                 return
@@ -259,6 +265,26 @@
                 except OSError:
                     pass
 
+    @staticmethod
+    def reset(channel_end):
+        channel_end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        channel_end.close()
+
+    def refuse(self):
+        self.refusing = True
+        for channel in self.channels:
+            channel["silent"] = True
+            for end in channel["sockets"]:
+                try:
+                    end.shutdown(socket.SHUT_RDWR)
+                    self.reset(end)
+                except OSError:
+                    pass
+        self.channels = []
+
+    def heal(self):
+        self.refusing = False
+
     def silence(self):
         for channel in self.channels:
             channel["silent"] = True
