--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 
-from stand_ins import (DRAIN_MS, Client, Gateway, Proxy, Runner, Store, free_peer_port, manifest, route, run_case,
+from stand_ins import (DRAIN_MS, Client, Gateway, Proxy, Runner, Store, free_port, manifest, route, run_case,
                        wait_until)
 
 GATEWAYS = 9
@@ -46,7 +46,7 @@
     store.transact([("op", "config", manifest(1, [route("booking", "unsafe", "desk", timeout_ms=TIMEOUT_MS,
                                                         objective_ms=500, attempts=1)], ["desk"]))])
     hosts = [f"127.0.1.{number}" for number in range(1, GATEWAYS + 1)]
-    peer_port = free_peer_port(hosts)
+    peer_port = free_port(hosts)
     gateways = []
     proxies = {}
     for number, host in enumerate(hosts, 1):
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,7 +8,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
 
-from stand_ins import (CONTACT_MS, DRAIN_MS, Client, Gateway, Proxy, Runner, Store, free_peer_port, manifest, route,
+from stand_ins import (CONTACT_MS, DRAIN_MS, Client, Gateway, Proxy, Runner, Store, free_port, manifest, route,
                        run_case, wait_until)
 
 GATEWAYS = 2
@@ -34,7 +34,7 @@
     proxy = Proxy(store.address)
     ending.append(proxy)
     hosts = [f"127.0.1.{number}" for number in range(1, GATEWAYS + 1)]
-    peer_port = free_peer_port(hosts)
+    peer_port = free_port(hosts)
     gateways = []
     for number, host in enumerate(hosts, 1):
         gateways.append(Gateway(record, folder, f"front-{number}", host, peer_port, proxy, [f"{hosts[0]}:1"]))
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -7,6 +7,7 @@
 import http.server
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -310,16 +311,10 @@
             "tenants": [{"name": "tenant-1", "apiKeys": ["key-1"]}]}
 
 
-def free_port(host, kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
-
-def free_peer_port(hosts):
-    """A port that is free for TCP and UDP at all hosts, as ports are the same on all machines."""
+def free_port(hosts):
+    """A port that is free for TCP and UDP at all hosts, below the range of the kernel's outgoing connections."""
     while True:
-        port = free_port(hosts[0])
+        port = random.randrange(20_000, 32_000)
         try:
             for host in hosts:
                 for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
@@ -346,8 +341,8 @@
     def __init__(self, record, folder, name, host, peer_port, store, seeds=()):
         self.record = record
         self.name = name
-        self.front = (host, free_port(host))
-        self.ready = (host, free_port(host))
+        self.front = (host, free_port([host]))
+        self.ready = (host, free_port([host]))
         self.log_path = os.path.join(folder, name + ".log")
         settings = os.path.join(folder, name + ".yaml")
         with open(settings, "w") as file:
