StoreAvailability: Delay removals only if no gateway reached the store

What callers saw: calls went to an upstream whose entry had been removed, through gateways that had lost nothing, for over the drain limit after the removal; calls in progress at its exit ended with 502.

Cause: entries expire while the store is away, so removals read after an outage are delayed. Any failed call of one gateway counted as an outage, and the gateway that reads for its group passed the delay on to all others with the changes.

Change: each datagram says how long ago the store last responded to its sender. A removal is delayed if no gateway is known to have got a response for 2.4 s (live upstreams, which report each 1.2 s, can't miss three reports in less), or for 1 s with failed calls of its own. `removal_delay_ms` is gone. Failures within the grace period extend it by their time, two seconds at most, instead of beginning it anew. Delayed removals wait up to half a second for the news of registrations in the last moments of the grace period.

Ruled out: a late read of the removal by the others (`upstream changed` came with the reader's datagram in time, and calls went on). `upstream changed` now says whether the removal is delayed.

--- a/Libraries/LibForward/FeedSchedule.cpp
+++ b/Libraries/LibForward/FeedSchedule.cpp
@@ -140,6 +140,12 @@
     return Duration {};
 }
 
+TimePoint FeedSchedule::completeUpTo(TimePoint now) const
+{
+    const bool polls = m_role != FeedRole::Follower && m_failures == 0 && now >= m_nextReadAt;
+    return polls ? now : m_confirmedAt;
+}
+
 FeedReport FeedSchedule::report(TimePoint now) const
 {
     return { .newestChange = m_newestChange, .readTo = m_readTo, .age = now - m_ownConfirmedAt };
--- a/Libraries/LibForward/UpstreamDirectory.cpp
+++ b/Libraries/LibForward/UpstreamDirectory.cpp
@@ -46,19 +46,19 @@
     recordChange();
 }
 
-void UpstreamDirectory::remove(const std::string &id, TimePoint now)
+bool UpstreamDirectory::remove(const std::string &id, TimePoint now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
-        return;
+        return false;
     // A leaving upstream is not expected to register again.
-    if ((m_storeUnavailable || now < m_gracePeriodEnd)
-        && found->second.record.state == UpstreamState::Ready) {
+    if (m_store.mayHaveExpired(now) && found->second.record.state == UpstreamState::Ready) {
         found->second.removalPending = true;
-        return;
+        return true;
     }
     m_entries.erase(found);
     recordChange();
+    return false;
 }
 
 void UpstreamDirectory::replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now)
@@ -96,37 +96,17 @@
     }
 }
 
-void UpstreamDirectory::storeLost()
-{
-    m_storeUnavailable = true;
-}
-
-void UpstreamDirectory::storeRegained(TimePoint now)
-{
-    if (!m_storeUnavailable)
-        return;
-    m_storeUnavailable = false;
-    m_gracePeriodEnd = now + recoveryGracePeriod;
-}
-
-Duration UpstreamDirectory::removalDelay(TimePoint now) const
-{
-    if (m_storeUnavailable)
-        return recoveryGracePeriod;
-    return std::max(Duration {}, m_gracePeriodEnd - now);
-}
-
-void UpstreamDirectory::extendRemovalDelay(Duration delay, TimePoint now)
+bool UpstreamDirectory::graceHasEnded(TimePoint now, TimePoint completeUpTo) const
 {
-    m_gracePeriodEnd =
-            std::max(m_gracePeriodEnd, now + std::min<Duration>(delay, recoveryGracePeriod));
+    const TimePoint end = m_store.gracePeriodEnd();
+    return !m_store.mayHaveExpired(now) && (completeUpTo >= end || now >= end + newsTimeout);
 }
 
-std::vector<std::string> UpstreamDirectory::expire(TimePoint now)
+std::vector<std::string> UpstreamDirectory::expire(TimePoint now, TimePoint completeUpTo)
 {
     endMisdirections(now);
     std::vector<std::string> removedIds;
-    if (m_storeUnavailable || now < m_gracePeriodEnd)
+    if (!graceHasEnded(now, completeUpTo))
         return removedIds;
     for (const auto &[id, entry] : m_entries) {
         if (entry.removalPending)
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -113,7 +113,7 @@
                                    m_peerExchange.directory().aliveShare(now));
     m_state.peerIsReady = m_peerExchange.directory().hasReadyPeer(now);
     updateZoneLocality();
-    for (const std::string &id : m_state.upstreams.expire(now))
+    for (const std::string &id : m_state.upstreams.expire(now, m_source.upstreamsCompleteUpTo(now)))
         forgetUpstream(id);
     m_state.ledger.expire(now);
     m_state.quarantine.update(now);
@@ -301,10 +301,11 @@
             previous != nullptr && change.record && previous->startedMs != change.record->startedMs;
     if (restarted)
         forgetUpstream(change.id);
+    bool delayed = false;
     if (change.record)
         m_state.upstreams.put(*change.record);
     else
-        m_state.upstreams.remove(change.id, m_state.clock.now());
+        delayed = m_state.upstreams.remove(change.id, m_state.clock.now());
     if (m_state.upstreams.find(change.id) == nullptr)
         forgetUpstream(change.id);
     m_state.outliers.setKnownUpstreams(m_state.upstreams.size());
@@ -315,6 +316,7 @@
         { { "upstream", change.id },
           { "state", state },
           { "restarted", restarted },
+          { "delayed", delayed },
           { "directory", m_state.upstreams.generation() } });
 }
 
@@ -365,16 +367,24 @@
 
 void GatewayProcess::storeLost(const std::string &reason)
 {
-    m_state.upstreams.storeLost();
     m_peerExchange.setStoreLost(true);
     log(LogLevel::Warning, "gateway", "store lost", { { "reason", reason } });
 }
 
 void GatewayProcess::storeRegained()
 {
-    m_state.upstreams.storeRegained(m_state.clock.now());
     m_peerExchange.setStoreLost(false);
     log(LogLevel::Info, "gateway", "store regained");
 }
 
+void GatewayProcess::storeCallFailed()
+{
+    m_state.upstreams.recordStoreFailure();
+}
+
+void GatewayProcess::storeResponded(TimePoint at)
+{
+    m_state.upstreams.recordStoreResponse(at);
+}
+
 } // namespace Lavenderpick
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -49,6 +49,8 @@
     void gatewaysListed(const std::vector<GatewayRecord> &gateways) override;
     void storeLost(const std::string &reason) override;
     void storeRegained() override;
+    void storeCallFailed() override;
+    void storeResponded(TimePoint at) override;
 
     void forgetUpstream(const std::string &id);
     void quarantineChanged(const SuspectedParts &suspicion, bool held);
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -285,9 +285,9 @@
 
 void PeerExchange::handleChanges(const nlohmann::json &message, TimePoint now)
 {
-    if (message.contains("removal_delay_ms"))
-        m_state.upstreams.extendRemovalDelay(
-                Milliseconds(message.at("removal_delay_ms").get<std::int64_t>()), now);
+    if (message.contains("store_response_age_ms"))
+        m_source.peerReachedStore(
+                now - Milliseconds(message.at("store_response_age_ms").get<std::int64_t>()));
     if (message.contains("spare_engines"))
         m_state.spareEngines.record(message.at("zone").get<std::string>(),
                                     message.at("spare_engines").get<std::vector<std::string>>(),
@@ -463,13 +463,11 @@
 {
     if (!isReader())
         return;
-    const TimePoint now = m_state.clock.now();
     std::int64_t previousChange = changes.previousChange;
     for (std::size_t start = 0; start < changes.entries.size(); start += changesPerDatagram) {
         const std::size_t end = std::min(start + changesPerDatagram, changes.entries.size());
         nlohmann::json datagram = makeDatagram(nlohmann::json::array());
         datagram["previous_change"] = previousChange;
-        datagram["removal_delay_ms"] = toMilliseconds(m_state.upstreams.removalDelay(now));
         for (std::size_t index = start; index < end; ++index)
             datagram["changes"].push_back(encodeChange(changes.entries[index]));
         previousChange = changes.entries[end - 1].revision;
@@ -590,13 +588,18 @@
 
 nlohmann::json PeerExchange::makeDatagram(nlohmann::json events) const
 {
-    return { { "gateway", m_state.settings.name },
-             { "incarnation", m_ownIncarnation },
-             { "zone", m_state.settings.availabilityZone },
-             { "revision", m_state.configurationRevision },
-             { "ready", m_state.isReady() },
-             { "groups_by_zone", m_directory.groupsAreZones() },
-             { "events", std::move(events) } };
+    nlohmann::json datagram { { "gateway", m_state.settings.name },
+                              { "incarnation", m_ownIncarnation },
+                              { "zone", m_state.settings.availabilityZone },
+                              { "revision", m_state.configurationRevision },
+                              { "ready", m_state.isReady() },
+                              { "groups_by_zone", m_directory.groupsAreZones() },
+                              { "events", std::move(events) } };
+    // Older responses tell peers nothing that they could still use.
+    const Duration age = m_state.clock.now() - m_source.storeRespondedAt().value_or(TimePoint {});
+    if (age < StoreAvailability::shortestExpiry)
+        datagram["store_response_age_ms"] = toMilliseconds(age);
+    return datagram;
 }
 
 void PeerExchange::sendTo(const std::vector<Endpoint> &endpoints, const nlohmann::json &datagram)
--- /dev/null
+++ b/Tests/LibForward/TestStoreAvailability.cpp
@@ -0,0 +1,99 @@
+#include "lavenderpick/Forward/StoreAvailability.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Lavenderpick;
+
+namespace {
+
+const TimePoint start { Seconds(1'000) };
+
+TimePoint after(int milliseconds)
+{
+    return start + Milliseconds(milliseconds);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StoreAvailabilityTests)
+
+BOOST_AUTO_TEST_CASE(nothingExpiresWhileTheStoreResponds)
+{
+    StoreAvailability store;
+    BOOST_CHECK(!store.mayHaveExpired(start));
+    for (int elapsedMs = 0; elapsedMs <= 20'000; elapsedMs += 2'300) {
+        store.recordResponse(after(elapsedMs));
+        BOOST_CHECK(!store.mayHaveExpired(after(elapsedMs)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(entriesMayHaveExpiredInAnOutageAndTheGracePeriodAfterIt)
+{
+    StoreAvailability store;
+    store.recordResponse(start);
+    BOOST_CHECK(!store.mayHaveExpired(after(2'399)));
+    BOOST_CHECK(store.mayHaveExpired(after(2'400)));
+    store.recordResponse(after(9'000));
+    store.recordResponse(after(10'000));
+    BOOST_CHECK(store.mayHaveExpired(after(10'999)));
+    BOOST_CHECK(!store.mayHaveExpired(after(11'000)));
+}
+
+BOOST_AUTO_TEST_CASE(failuresOfThisGatewayMakeAShorterOutageCount)
+{
+    StoreAvailability store;
+    store.recordResponse(start);
+    store.recordFailure();
+    BOOST_CHECK(store.mayHaveExpired(after(1'000)));
+    store.recordResponse(after(1'100));
+    BOOST_CHECK(store.mayHaveExpired(after(3'099)));
+    BOOST_CHECK(!store.mayHaveExpired(after(3'100)));
+}
+
+BOOST_AUTO_TEST_CASE(responsesToPeersShowThatThereWasNoOutage)
+{
+    StoreAvailability store;
+    for (int elapsedMs = 0; elapsedMs <= 9'000; elapsedMs += 500) {
+        store.recordResponse(after(elapsedMs));
+        store.recordFailure();
+        BOOST_CHECK(!store.mayHaveExpired(after(elapsedMs + 499)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lateNewsOfAnEarlierResponseChangesNothing)
+{
+    StoreAvailability store;
+    store.recordResponse(after(5'000));
+    store.recordResponse(start);
+    store.recordResponse(after(6'000));
+    BOOST_CHECK(!store.mayHaveExpired(after(6'000)));
+}
+
+BOOST_AUTO_TEST_CASE(aProcessThatStartsDuringAnOutageKnowsNoResponse)
+{
+    StoreAvailability store;
+    store.recordFailure();
+    BOOST_CHECK(store.mayHaveExpired(start));
+    store.recordResponse(start);
+    BOOST_CHECK(store.mayHaveExpired(after(1'999)));
+    BOOST_CHECK(!store.mayHaveExpired(after(2'000)));
+}
+
+// Upstreams can't register while the store fails, so that time doesn't count; but a store that
+// turns this gateway away again and again must not keep removed upstreams without end.
+BOOST_AUTO_TEST_CASE(shortFailuresExtendTheGracePeriodWithinALimit)
+{
+    StoreAvailability store;
+    store.recordFailure();
+    store.recordResponse(start);
+    store.recordFailure();
+    store.recordResponse(after(500));
+    BOOST_CHECK(store.gracePeriodEnd() == after(2'500));
+    for (int elapsedMs = 1'000; elapsedMs <= 9'000; elapsedMs += 500) {
+        store.recordFailure();
+        store.recordResponse(after(elapsedMs));
+    }
+    BOOST_CHECK(store.gracePeriodEnd() == after(4'000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/PlatformAdapter/TestStoreSource.cpp
+++ b/Tests/PlatformAdapter/TestStoreSource.cpp
@@ -20,6 +20,8 @@
     std::vector<GatewayRecord> gateways;
     int lost { 0 };
     int regained { 0 };
+    int failed { 0 };
+    TimePoint respondedAt {};
 
     void configurationRead(const ConfigurationSnapshot &snapshot) override
     {
@@ -39,6 +41,8 @@
     void gatewaysListed(const std::vector<GatewayRecord> &records) override { gateways = records; }
     void storeLost(const std::string &) override { ++lost; }
     void storeRegained() override { ++regained; }
+    void storeCallFailed() override { ++failed; }
+    void storeResponded(TimePoint at) override { respondedAt = std::max(respondedAt, at); }
 };
 
 /// An in-memory store on loopback. It leaves a long poll open until a row of the table changes.
@@ -364,6 +368,26 @@
     BOOST_CHECK_EQUAL(observer.regained, 1);
 }
 
+// A gateway that alone loses the store must not take that for an outage, nor miss a real one.
+BOOST_AUTO_TEST_CASE(reportsWhenTheStoreRespondedToAnyGateway)
+{
+    start();
+    source.setRole(FeedRole::Follower);
+    const TimePoint listedAt = clock.now() - settings.maximumAge;
+    BOOST_CHECK(observer.respondedAt == listedAt);
+    store.setStatus(503);
+    BOOST_REQUIRE(runUntil([&] {
+        advance(settings.maximumAge);
+        return observer.failed >= 2;
+    }));
+    BOOST_CHECK_EQUAL(observer.lost, 1);
+    BOOST_CHECK(observer.respondedAt == listedAt);
+    BOOST_CHECK(source.storeRespondedAt() == listedAt);
+    source.peerReachedStore(clock.now() - Milliseconds(100));
+    BOOST_CHECK(observer.respondedAt == clock.now() - Milliseconds(100));
+    BOOST_CHECK(source.storeRespondedAt() == listedAt);
+}
+
 BOOST_AUTO_TEST_CASE(listsAgainWhenHistoryIsGone)
 {
     start();
--- a/Tests/Processes/GatewayTest.py
+++ b/Tests/Processes/GatewayTest.py
@@ -1,72 +1,21 @@
 """Runs gateways as processes against a stand-in of the users' platform."""
 
 import concurrent.futures
-import json
 import os
-import random
 import signal
 import socket
-import subprocess
 import sys
 import tempfile
 import time
 import unittest
 
-from local_cluster import PORTS, call, is_free, wait_until
+from gateway_process import Gateway
+from local_cluster import call, wait_until
 from platform_stand_in import Runner, Store, configuration
 
 PROGRAM = ""
 
 
-def free_port():
-    """A port below the range that the kernel gives to outgoing connections."""
-    while True:
-        port = random.choice(PORTS)
-        if is_free(port):
-            return port
-
-
-class Gateway:
-    """One process, its addresses and its log."""
-
-    def __init__(self, folder, name, store, seeds=(), host="127.0.0.1", peer_port=None, metrics=None):
-        self.peer_port = peer_port or free_port()
-        self.callers, self.readiness = (f"{host}:{free_port()}" for _ in range(2))
-        self.peers = f"{host}:{self.peer_port}"
-        self.metrics = metrics or f"{host}:{free_port()}"
-        self.settings = os.path.join(folder, name + ".yaml")
-        self.log_path = os.path.join(folder, name + ".log")
-        with open(self.settings, "w") as file:
-            json.dump({"name": name, "availability_zone": "a",
-                       "listen": {"callers": self.callers, "readiness": self.readiness,
-                                  "peers": self.peers, "metrics": self.metrics},
-                       "platform": {"address": store.address}, "seeds": list(seeds), "stop_grace": "8 s",
-                       "retries": {"ratio": 0.2, "slack": 100, "window": "10 s"}}, file)
-        self.log = open(self.log_path, "w")
-        self.process = subprocess.Popen([PROGRAM, "gateway", "--settings", self.settings],
-                                        stdout=self.log, stderr=self.log)
-
-    def is_ready(self):
-        try:
-            return call(self.readiness, "GET", "/readyz", timeout=1).status == 200
-        except OSError:
-            return False
-
-    def send(self, path, identifier="r1", body=None, key="key-1", **headers):
-        fields = {"Host": "h", "Api-Key": key, "X-Attempt-Id": identifier, "X-Deadline-Ms": "5000", **headers}
-        return call(self.callers, "POST" if body else "GET", path, body, fields, timeout=10)
-
-    def lines(self):
-        with open(self.log_path) as file:
-            return [json.loads(line) for line in file]
-
-    def stop(self):
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
-        self.log.close()
-
-
 class GatewayTest(unittest.TestCase):
     def setUp(self):
         self.folder = tempfile.TemporaryDirectory()
@@ -84,7 +33,7 @@
         self.folder.cleanup()
 
     def start(self, name="gateway-1", wait=True, **options):
-        gateway = Gateway(self.folder.name, name, self.store, **options)
+        gateway = Gateway(PROGRAM, self.folder.name, name, self.store, **options)
         self.gateways.append(gateway)
         if wait:
             wait_until(gateway.is_ready, 10, f"{name} is not ready")
@@ -128,7 +77,7 @@
         first = self.start()
         refusing = Store()
         refusing.refusing = True
-        second = Gateway(self.folder.name, "gateway-2", refusing, host="127.0.0.2",
+        second = Gateway(PROGRAM, self.folder.name, "gateway-2", refusing, host="127.0.0.2",
                          peer_port=first.peer_port, seeds=["127.0.0.1:1"])
         self.gateways.append(second)
         wait_until(second.is_ready, 5, "gateway-2 did not learn from its peer")
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -118,6 +118,22 @@
         handler.respond_json(200, answer)
 
 
+class StoreDoor(StandIn):
+    """Another address of the store. While `refusing`, it turns those who call there away."""
+
+    def __init__(self, store):
+        self.store = store
+        self.refusing = False
+        super().__init__()
+
+    def answer(self, handler):
+        if self.refusing:
+            handler.read_body()
+            handler.respond_json(503, {})
+        else:
+            self.store.answer(handler)
+
+
 class Runner(StandIn):
     """Answers calls at once, or after `delay` seconds, and streams of five events."""
 
--- a/include/lavenderpick/Forward/ControlPlaneSource.h
+++ b/include/lavenderpick/Forward/ControlPlaneSource.h
@@ -74,8 +74,16 @@
     /// Reports all registered gateways.
     virtual void gatewaysListed(const std::vector<GatewayRecord> &gateways) = 0;
 
+    /// The first of several failed calls to the store.
     virtual void storeLost(const std::string &reason) = 0;
     virtual void storeRegained() = 0;
+
+    /// A call of this gateway to the store failed. Follows `storeLost`.
+    virtual void storeCallFailed() = 0;
+
+    /// The store responded at `at` to this gateway or to a peer. Called before what the response
+    /// holds is reported.
+    virtual void storeResponded(TimePoint at) = 0;
 };
 
 /// Provides the configuration, the upstreams and the members (registered gateways) from the store.
@@ -94,12 +102,21 @@
     /// What this gateway last read from the store itself.
     virtual ControlPlaneReport report(TimePoint now) const = 0;
 
+    /// When the store last responded to this gateway itself; empty if never.
+    virtual std::optional<TimePoint> storeRespondedAt() const = 0;
+
+    /// The store responded to a peer at this time.
+    virtual void peerReachedStore(TimePoint at) = 0;
+
     /// Compares a peer's report with what is known here; reads the store if changes are missing.
     virtual void peerReported(const ControlPlaneReport &report, TimePoint now) = 0;
 
     /// Applies the changes that a peer read, if none before them is missing.
     virtual void peerReadChanges(const UpstreamChangeSet &changes, TimePoint now) = 0;
 
+    /// Changes to the upstreams that were made up to this time were reported to the observer.
+    virtual TimePoint upstreamsCompleteUpTo(TimePoint now) const = 0;
+
     /// Detects connections that have gone silent. Called several times a second.
     virtual void checkTimeouts(TimePoint now) = 0;
 
--- a/include/lavenderpick/Forward/FeedSchedule.h
+++ b/include/lavenderpick/Forward/FeedSchedule.h
@@ -94,6 +94,10 @@
     TimePoint retryAt() const { return m_retryAt; }
 
     FeedReport report(TimePoint now) const;
+
+    /// Changes made up to this time are applied here. An open long poll reports newer ones at once.
+    TimePoint completeUpTo(TimePoint now) const;
+
     std::int64_t readTo() const { return m_readTo; }
     std::int64_t newestChange() const { return m_newestChange; }
     int failures() const { return m_failures; }
--- a/include/lavenderpick/Forward/UpstreamDirectory.h
+++ b/include/lavenderpick/Forward/UpstreamDirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lavenderpick/Base/Clock.h"
+#include "lavenderpick/Forward/StoreAvailability.h"
 
 #include <cstdint>
 #include <map>
@@ -38,23 +39,23 @@
 /// The upstreams that the platform lists. Not safe for concurrent use.
 ///
 /// Entries expire while the store is unavailable, although their upstreams are alive. Removals that
-/// are seen during an outage, or within `recoveryGracePeriod` after it, are therefore delayed until
-/// that period ends.
+/// may be such expiries (`StoreAvailability`) are therefore delayed until the grace period after
+/// the outage ends.
 class UpstreamDirectory
 {
 public:
-    /// Expired entries are documented to be registered again within about two seconds.
-    static constexpr Duration recoveryGracePeriod { Milliseconds(2'000) };
-
     /// Bounds the loss if the response was wrong. Each attempt after it costs a caller one retry.
     static constexpr Duration misdirectionTimeout { Seconds(5) };
 
+    /// How long delayed removals wait for news of registrations at the end of the grace period.
+    static constexpr Duration newsTimeout { Milliseconds(500) };
+
     /// Adds or replaces one upstream.
     void put(const UpstreamRecord &record);
 
     /// Removes an upstream, at once or when the grace period ends. Leaving upstreams are removed
-    /// at once.
-    void remove(const std::string &id, TimePoint now);
+    /// at once. Returns whether the removal is delayed.
+    bool remove(const std::string &id, TimePoint now);
 
     /// Applies a complete listing; upstreams missing from it are removed as by `remove`.
     void replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now);
@@ -63,18 +64,15 @@
     /// is not ready until the record changes, or for `misdirectionTimeout`.
     void recordMisdirection(const std::string &id, TimePoint now);
 
-    void storeLost();
-    void storeRegained(TimePoint now);
-
-    /// How much longer removals are delayed because the store was unavailable.
-    Duration removalDelay(TimePoint now) const;
+    /// A call of this gateway to the store failed.
+    void recordStoreFailure() { m_store.recordFailure(); }
 
-    /// Delays removals for at least this long; a peer noticed that the store was unavailable.
-    void extendRemovalDelay(Duration delay, TimePoint now);
+    /// The store responded to this gateway or to a peer.
+    void recordStoreResponse(TimePoint at) { m_store.recordResponse(at); }
 
     /// Carries out delayed removals once the grace period has ended, and ends misdirections;
-    /// returns the removed ids.
-    std::vector<std::string> expire(TimePoint now);
+    /// returns the removed ids. `completeUpTo`: changes made up to then were applied.
+    std::vector<std::string> expire(TimePoint now, TimePoint completeUpTo);
 
     /// Null when the id is not listed.
     const UpstreamRecord *find(const std::string &id) const;
@@ -98,13 +96,13 @@
         std::optional<TimePoint> misdirectedUntil {};
     };
 
+    bool graceHasEnded(TimePoint now, TimePoint completeUpTo) const;
     void recordChange();
     void endMisdirections(TimePoint now);
 
     std::map<std::string, Entry> m_entries;
     mutable std::map<std::string, std::vector<const UpstreamRecord *>> m_ready;
-    bool m_storeUnavailable { false };
-    TimePoint m_gracePeriodEnd {};
+    StoreAvailability m_store;
     std::uint64_t m_generation { 0 };
 };
 
