--- a/Libraries/LibForward/FeedSchedule.cpp
+++ b/Libraries/LibForward/FeedSchedule.cpp
@@ -25,7 +25,7 @@
     FeedScheduleSettings settings;
     settings.maximumAge = limit / maximumAgeDivisor;
     settings.readerPollWait = limit / readerPollWaitDivisor;
-    settings.alonePollWait = limit * 3 / 4;
+    settings.alonePollWait = std::min(settings.alonePollWait, limit * 3 / 4);
     return settings;
 }
 
--- a/Tests/PlatformAdapter/TestStoreSource.cpp
+++ b/Tests/PlatformAdapter/TestStoreSource.cpp
@@ -206,9 +206,10 @@
     Platform::StoreSource source { context, clock, random, store.address(), settings };
     RecordingObserver observer;
 
-    bool runUntil(const std::function<bool()> &condition)
+    bool runUntil(const std::function<bool()> &condition,
+                  std::chrono::milliseconds limit = std::chrono::milliseconds(2'000))
     {
-        const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+        const auto deadline = std::chrono::steady_clock::now() + limit;
         while (!condition() && std::chrono::steady_clock::now() < deadline) {
             context.restart();
             context.run_for(std::chrono::milliseconds(2));
@@ -423,12 +424,33 @@
     start();
     store.setSilent(true);
     const Duration timeout = settings.alonePollWait + Platform::StoreClient::responseTimeout;
+    const int calls = store.calls;
     advance(timeout - Milliseconds(100));
+    BOOST_CHECK(!runUntil([&] { return store.calls > calls; }, std::chrono::milliseconds(50)));
+    advance(Milliseconds(200));
+    BOOST_REQUIRE(runUntil([&] { return store.calls >= calls + 2; }));
     BOOST_CHECK_EQUAL(observer.lost, 0);
+    advance(Platform::StoreClient::responseTimeout - Milliseconds(100));
+    BOOST_CHECK(!runUntil([&] { return observer.lost > 0; }, std::chrono::milliseconds(50)));
     advance(Milliseconds(200));
     BOOST_CHECK(runUntil([&] { return observer.lost == 1; }));
 }
 
+// A connection that had gone silent was taken for an outage of the store, which delayed removals.
+BOOST_AUTO_TEST_CASE(silentConnectionIsNoOutage)
+{
+    start();
+    store.setSilent(true);
+    const int calls = store.calls;
+    advance(settings.alonePollWait + Platform::StoreClient::responseTimeout);
+    store.setSilent(false);
+    store.remove("servers", "i-1");
+    BOOST_REQUIRE(runUntil([&] { return observer.changes.size() == 1; }));
+    BOOST_CHECK_GT(store.calls, calls);
+    BOOST_CHECK_EQUAL(observer.lost, 0);
+    BOOST_CHECK_EQUAL(observer.failed, 0);
+}
+
 // The clock stands still, so only the limit in bytes ends the response.
 BOOST_AUTO_TEST_CASE(endlessResponseOfTheStoreCountsAsAFailure)
 {
--- a/Tests/Processes/StoreOutageTest.py
+++ b/Tests/Processes/StoreOutageTest.py
@@ -14,6 +14,8 @@
 
 PROGRAM = ""
 DRAIN_LIMIT_S = 2.0
+CONTACT_LIMIT_S = 3.0  # The limits bind a gateway again this long after its connections broke.
+SMALLEST_GROUP_WITH_READER = 8
 REGISTRATION_S = 2.0  # Within this time after an outage, live upstreams whose entries expired are back.
 
 
@@ -67,7 +69,7 @@
                                          host=f"127.0.0.{number}", peer_port=peer_port, seeds=["127.0.0.1:1"]))
         for gateway in self.gateways:
             wait_until(gateway.is_ready, 20, f"{gateway.name} is not ready")
-        if count > 1:
+        if count >= SMALLEST_GROUP_WITH_READER:
             wait_until(lambda: sorted(map(self.role, self.gateways)) == ["follower"] * (count - 1) + ["reader"], 15,
                        "the gateways did not agree on one that reads the store")
 
@@ -100,6 +102,24 @@
         time.sleep(max(0.0, removed_at + DRAIN_LIMIT_S - time.monotonic()))
         self.assertEqual(self.runs_through(others, self.runners[0], "late"), 0)
 
+    def play_silent_connections(self, gateways):
+        self.start(gateways)
+        time.sleep(2.5)
+        for door in self.doors.values():
+            door.silence()
+        silent_at = time.monotonic()
+        time.sleep(0.8)
+        self.store.remove("servers", "c-0")
+        time.sleep(silent_at + CONTACT_LIMIT_S - time.monotonic())
+        self.assertEqual(self.runs_through(self.gateways, self.runners[0], "late"), 0)
+
+    def test_silent_connections_to_the_store_delay_no_removal_at_one_gateway(self):
+        # The call that timed out counted as an outage of the store, though new connections worked all the time.
+        self.play_silent_connections(1)
+
+    def test_silent_connections_to_the_store_delay_no_removal_at_nine_gateways(self):
+        self.play_silent_connections(9)
+
     def play_outage_in_which_all_entries_expire(self, gateways):
         self.start(gateways)
         calls = Calls(self.gateways)
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -119,14 +119,29 @@
 
 
 class StoreDoor(StandIn):
-    """Another address of the store. While `refusing`, it turns those who call there away."""
+    """Another address of the store. While `refusing`, it turns those who call there away. After `silence`, the
+    connections open by then carry nothing any more, and new ones work."""
 
     def __init__(self, store):
         self.store = store
         self.refusing = False
+        self.silences = 0
+        self.silences_before = {}
         super().__init__()
 
+    def silence(self):
+        self.silences += 1
+
     def answer(self, handler):
+        before = self.silences_before.setdefault(handler.connection, self.silences)
+        respond = handler.respond
+
+        def respond_unless_silent(*arguments):
+            if self.silences > before:
+                threading.Event().wait(30)
+            respond(*arguments)
+
+        handler.respond = respond_unless_silent
         if self.refusing:
             handler.read_body()
             handler.respond_json(503, {})
--- a/include/lavenderpick/Forward/FeedSchedule.h
+++ b/include/lavenderpick/Forward/FeedSchedule.h
@@ -35,8 +35,9 @@
     /// Long poll of a gateway that reads for its peers. Several fit within `maximumAge`.
     Duration readerPollWait { Milliseconds(500) };
     /// Long poll of a gateway that reads for itself. It bounds how long a connection that has gone
-    /// silent stays unnoticed.
-    Duration alonePollWait { Milliseconds(1'500) };
+    /// silent stays unnoticed: less than `StoreAvailability::shortestExpiry`, so that the silence
+    /// is no outage.
+    Duration alonePollWait { Milliseconds(1'300) };
     /// Time from the start of a read that returned changes to the next read. Many upstreams change
     /// at about the same time, and each of their changes would complete a long poll of its own.
     Duration changeSpacing { Milliseconds(150) };
