RecordDecoder: Ignore rows of upstreams without a usable address

What callers saw: attempts at an upstream that can't exist, which failed before connecting and went on elsewhere; where no other upstream was free, a 503.

Cause: the decoder took any text for an address, so that another writer's row with a port out of range named a ready upstream.

Ruled out: rows nested 100,000 levels deep, numbers beyond any range and bytes that are no text end no process and don't stop the gateway from following (nestedRowsAndExcessiveNumbersAreIgnored and the process test's other rows passed before the change).

Measured: rowsWithoutAUsableAddressAreIgnored (9 of 9 addresses) and test_odd_rows_of_other_writers_name_no_runner failed before and pass.

--- a/Services/Gateway/ByteStream.h
+++ b/Services/Gateway/ByteStream.h
@@ -81,7 +81,4 @@
     std::unique_ptr<asio::steady_timer> m_lingerTimer;
 };
 
-/// Parses `host:port`. Throws `Error` of kind InvalidMessage.
-asio::ip::tcp::endpoint parseEndpoint(const std::string &address);
-
 } // namespace Lavenderpick
--- a/Services/Gateway/HttpConnection.cpp
+++ b/Services/Gateway/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "Services/Gateway/HttpConnection.h"
 
+#include "Services/Gateway/Endpoint.h"
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Base/Log.h"
 
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -1,5 +1,6 @@
 #include "Services/Gateway/PeerExchange.h"
 
+#include "Services/Gateway/Endpoint.h"
 #include "Services/Gateway/QuarantineMessages.h"
 
 #include "lavenderpick/Base/Error.h"
--- a/Tests/PlatformAdapter/TestRecordDecoder.cpp
+++ b/Tests/PlatformAdapter/TestRecordDecoder.cpp
@@ -92,6 +92,29 @@
         BOOST_CHECK(!Platform::decodeUpstream("i-1", text).has_value());
 }
 
+// Requests were sent to an address that no upstream can have, and failed there.
+BOOST_AUTO_TEST_CASE(rowsWithoutAUsableAddressAreIgnored)
+{
+    for (const char *address : { "10.0.0.9:70000", "10.0.0.9:-1", "10.0.0.9:0", "10.0.0.9",
+                                 "10.0.0.9:", ":80", "10.0.0.900:80", "10.0.0.9:80 ", "" }) {
+        const std::string row = R"({"service":"s1","address":")" + std::string(address)
+                + R"(","zone":"a","capacity":16,"state":"ready"})";
+        BOOST_CHECK_MESSAGE(!Platform::decodeUpstream("i-1", row).has_value(), address);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(nestedRowsAndExcessiveNumbersAreIgnored)
+{
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    BOOST_CHECK(!Platform::decodeUpstream("i-1", nested).has_value());
+    for (const char *capacity : { "1e400", "1e300", "99999999999999999999", "-1", "0", "2.5" }) {
+        const std::string row =
+                R"({"service":"s1","address":"10.0.0.9:80","zone":"a","state":"ready","capacity":)"
+                + std::string(capacity) + "}";
+        BOOST_CHECK_MESSAGE(!Platform::decodeUpstream("i-1", row).has_value(), capacity);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(PlatformDialectTests)
--- a/Tests/Processes/GatewayTest.py
+++ b/Tests/Processes/GatewayTest.py
@@ -65,6 +65,24 @@
             gateway.send("/lookup/", f"after-{number}")
         self.assertFalse([run for run in self.runners[0].ran if run.startswith("after")])
 
+    def test_odd_rows_of_other_writers_name_no_runner(self):
+        gateway = self.start()
+        row = {"service": "calls", "address": "127.0.0.1:70000", "zone": "a", "capacity": 8, "state": "ready"}
+        self.store.put("servers", "odd-port", row)
+        self.store.put("servers", "odd-nested", b"[" * 100_000 + b"]" * 100_000)
+        self.store.put("servers", "odd-number", b'{"capacity":1e400}')
+        self.store.put("servers", "odd-bytes", b"\xff\xfe")
+        time.sleep(0.5)
+        for number in range(20):
+            self.assertEqual(gateway.send("/once/", f"odd-{number}", body={}).status, 200)
+        self.assertFalse([line for line in gateway.lines() if line["message"] == "attempt failed"])
+        # Rows are still followed.
+        self.runners[0].register("draining")
+        wait_until(lambda: any(line["message"] == "upstream changed" and line["state"] == "leaving"
+                               for line in gateway.lines()), 1, "the change was not seen")
+        restarted = self.start("gateway-2", host="127.0.0.2", peer_port=gateway.peer_port)
+        self.assertEqual(restarted.send("/once/", "odd-restarted", body={}).status, 200)
+
     def test_requests_are_served_while_the_store_is_away(self):
         gateway = self.start()
         self.store.refusing = True
