SlowestRequests: Accept late requests of a stopping gateway only if they fit

What callers saw: in a planned stop with no other gateway ready, calls accepted up to two seconds before the exit ended without an answer, among them calls that may not be repeated.

Change: the longest recent request of the route must fit too.

Ruled out: that the calls crossed the exit. The log has `sent` 2.0 to 2.4 s before it; calls that crossed it were refused or rejected.

--- a/Libraries/LibForward/GracefulShutdown.cpp
+++ b/Libraries/LibForward/GracefulShutdown.cpp
@@ -1,5 +1,7 @@
 #include "lavenderpick/Forward/GracefulShutdown.h"
 
+#include <algorithm>
+
 namespace Lavenderpick {
 
 namespace {
@@ -14,9 +16,10 @@
     return !isDeregistered(now) || (!peerIsReady && now < exitDeadline());
 }
 
-bool GracefulShutdown::mayAcceptRequest(TimePoint now, Duration expected) const
+bool GracefulShutdown::mayAcceptRequest(TimePoint now, Duration expected, Duration longest) const
 {
-    return !isDeregistered(now) || now + durationFactor * expected <= exitDeadline();
+    const Duration needed = std::max(durationFactor * expected, longest);
+    return !isDeregistered(now) || now + needed <= exitDeadline();
 }
 
 bool GracefulShutdown::shouldExit(TimePoint now, bool hasOpenRequests) const
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -286,7 +286,9 @@
     if (waitForBetterPlacement())
         return;
     // A request that was accepted and attempted before continues, if need be at another upstream.
-    if (m_history.attempts() == 0 && !m_state.stop.mayAcceptRequest(now, expectedDuration())) {
+    if (m_history.attempts() == 0
+        && !m_state.stop.mayAcceptRequest(now, expectedDuration(),
+                                          m_state.slowestRequests.longest(m_route->name, now))) {
         refuse(503, RefusalReason::NotReady,
                "The gateway is stopping and can't finish the request.", restartRetryAfter);
         return;
@@ -804,12 +806,15 @@
 {
     if (m_route == nullptr)
         return;
+    const TimePoint now = m_state.clock.now();
+    if (m_attemptStartedAt != TimePoint {})
+        m_state.slowestRequests.record(m_route->name, now - m_arrivedAt, now);
     const std::string kind = "kind=\"" + std::string(toString(m_route->kind)) + "\"";
     const bool succeeded = status >= 200 && status < 300;
     m_state.metrics.observeLatency(
             "lavenderpick_request_duration_seconds",
             kind + (succeeded ? ",outcome=\"success\"" : ",outcome=\"failure\""),
-            m_state.clock.now() - m_arrivedAt);
+            now - m_arrivedAt);
     if (m_events.eventCount() == 0)
         return;
     m_state.metrics.observeLatency("lavenderpick_first_event_seconds", "", m_timeToFirstEvent);
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -11,6 +11,7 @@
 #include "lavenderpick/Forward/PromptQuarantine.h"
 #include "lavenderpick/Forward/RequestDialect.h"
 #include "lavenderpick/Forward/ReturnTime.h"
+#include "lavenderpick/Forward/SlowestRequests.h"
 #include "lavenderpick/Forward/SpareEngines.h"
 #include "lavenderpick/Forward/StalledStreamDetector.h"
 #include "lavenderpick/Forward/UpstreamDirectory.h"
@@ -60,6 +61,7 @@
     UpstreamRateLimits rateLimits;
     StalledStreamDetector stalledStreams;
     GracefulShutdown stop;
+    SlowestRequests slowestRequests;
     UpstreamConnectionPool pool;
     WaitingRequests waiting;
     Metrics metrics;
--- a/Tests/LibForward/TestGracefulShutdown.cpp
+++ b/Tests/LibForward/TestGracefulShutdown.cpp
@@ -58,6 +58,16 @@
     BOOST_CHECK(!shutdown.acceptsConnections(start + gracePeriod, false));
 }
 
+// Calls that take far longer than their objective were accepted late and cut at the exit.
+BOOST_AUTO_TEST_CASE(requestsThatWereSlowLatelyAreAcceptedOnlyIfTheyFit)
+{
+    GracefulShutdown shutdown(gracePeriod);
+    shutdown.begin(start);
+    const TimePoint lateStart = start + Seconds(5);
+    BOOST_CHECK(shutdown.mayAcceptRequest(lateStart, Milliseconds(900), Milliseconds(2'600)));
+    BOOST_CHECK(!shutdown.mayAcceptRequest(lateStart, Milliseconds(900), Milliseconds(2'601)));
+}
+
 // Guards against rejected requests when shutdowns overlap: three gateways stop two seconds apart,
 // and their streams take over seven seconds to end. Requests of 200 ms arrive every 20 ms.
 BOOST_AUTO_TEST_CASE(overlappingRestartsRejectNoRequests)
--- a/include/lavenderpick/Forward/GracefulShutdown.h
+++ b/include/lavenderpick/Forward/GracefulShutdown.h
@@ -33,8 +33,9 @@
     /// Whether new connections are accepted. `peerIsReady`: another gateway accepts callers.
     bool acceptsConnections(TimePoint now, bool peerIsReady) const;
 
-    /// Whether to accept a request with an expected duration of `expected`.
-    bool mayAcceptRequest(TimePoint now, Duration expected) const;
+    /// Whether to accept a request with an expected duration of `expected`, where similar ones have
+    /// taken up to `longest` recently.
+    bool mayAcceptRequest(TimePoint now, Duration expected, Duration longest = {}) const;
 
     /// Whether the process should exit now.
     bool shouldExit(TimePoint now, bool hasOpenRequests) const;
