UpstreamNotices: Leave out upstreams that leave or want nothing for a while

What callers saw: requests went to upstreams whose answers say that they leave, until the store's entry said so too; an upstream that had turned a request away for some seconds was asked again at once, and a whole service that did so cost each caller an attempt.

Change: the gateway reads both notices in every answer of an upstream, orders included. Leaving ends with the process, a pause by time. If all upstreams pause, a request waits if that ends in time, else it is rejected at once with `upstream_pause` and a Retry-After that is spread. SpareEngines used upstreams that were not ready for other reasons too (another process at the address); it asks the directory now.

Not taken: telling peers.

--- a/Libraries/LibBase/Problem.cpp
+++ b/Libraries/LibBase/Problem.cpp
@@ -41,6 +41,7 @@
     case RefusalReason::StaleDocument:
     case RefusalReason::QuarantinedPrompt:
     case RefusalReason::UpstreamRateLimit:
+    case RefusalReason::UpstreamPause:
         return 503;
     }
     return 500;
--- a/Libraries/LibBase/Reasons.cpp
+++ b/Libraries/LibBase/Reasons.cpp
@@ -16,6 +16,7 @@
     "draining",        "no_upstream",     "upstream_memory",    "store_unavailable",
     "not_ready",       "stale_document",  "too_many_streams",   "cancelled",
     "upstream_failed", "not_found",       "quarantined_prompt", "upstream_rate_limit",
+    "upstream_pause",
 };
 
 constexpr std::array<std::string_view, retryReasonCount> retryNames {
--- a/Libraries/LibForward/SpareEngines.cpp
+++ b/Libraries/LibForward/SpareEngines.cpp
@@ -40,8 +40,7 @@
             continue;
         for (const std::string &id : report.engines) {
             const UpstreamRecord *record = directory.find(id);
-            if (record != nullptr && record->service == service
-                && record->state == UpstreamState::Ready)
+            if (record != nullptr && record->service == service && directory.isReady(id))
                 engines.push_back(record);
         }
     }
--- a/Libraries/LibForward/UpstreamDirectory.cpp
+++ b/Libraries/LibForward/UpstreamDirectory.cpp
@@ -102,21 +102,78 @@
     return !m_store.mayHaveExpired(now) && (completeUpTo >= end || now >= end + newsTimeout);
 }
 
-std::vector<std::string> UpstreamDirectory::expire(TimePoint now, TimePoint completeUpTo)
+bool UpstreamDirectory::recordLeaving(const std::string &id, std::int64_t startedMs, TimePoint now)
+{
+    if (!m_notices.recordLeaving(id, startedMs, now))
+        return false;
+    recordChange();
+    return true;
+}
+
+bool UpstreamDirectory::recordPause(const std::string &id, std::int64_t startedMs, Duration pause,
+                                    TimePoint now)
+{
+    if (!m_notices.recordPause(id, startedMs, pause, now))
+        return false;
+    recordChange();
+    return true;
+}
+
+UpstreamDirectory::Expired UpstreamDirectory::expire(TimePoint now, TimePoint completeUpTo)
 {
     endMisdirections(now);
-    std::vector<std::string> removedIds;
-    if (!graceHasEnded(now, completeUpTo))
-        return removedIds;
-    for (const auto &[id, entry] : m_entries) {
-        if (entry.removalPending)
-            removedIds.push_back(id);
+    Expired expired { .returned = m_notices.expire(
+                              now, [this](const std::string &id) { return find(id) != nullptr; }) };
+    if (graceHasEnded(now, completeUpTo)) {
+        for (const auto &[id, entry] : m_entries) {
+            if (entry.removalPending)
+                expired.removed.push_back(id);
+        }
     }
-    for (const std::string &id : removedIds)
+    for (const std::string &id : expired.removed)
         m_entries.erase(id);
-    if (!removedIds.empty())
+    if (!expired.removed.empty() || !expired.returned.empty())
         recordChange();
-    return removedIds;
+    return expired;
+}
+
+bool UpstreamDirectory::mayServe(const Entry &entry) const
+{
+    const UpstreamRecord &record = entry.record;
+    return record.state == UpstreamState::Ready && !entry.misdirectedUntil
+            && !m_notices.isLeaving(record.id, record.startedMs);
+}
+
+bool UpstreamDirectory::isReady(const std::string &id) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() && mayServe(found->second)
+            && !m_notices.pausedUntil(id, found->second.record.startedMs);
+}
+
+std::optional<TimePoint> UpstreamDirectory::earliestReturn(const std::string &service) const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &[id, entry] : m_entries) {
+        const auto pausedUntil = m_notices.pausedUntil(id, entry.record.startedMs);
+        if (entry.record.service == service && pausedUntil && mayServe(entry))
+            earliest = std::min(earliest.value_or(*pausedUntil), *pausedUntil);
+    }
+    return earliest;
+}
+
+std::optional<UpstreamRecord> UpstreamDirectory::otherAtAddress(const std::string &address,
+                                                                const std::string &id) const
+{
+    std::optional<UpstreamRecord> other;
+    for (const auto &[otherId, entry] : m_entries) {
+        if (otherId == id || entry.record.address != address)
+            continue;
+        if (other)
+            return std::nullopt;
+        other = entry.record;
+    }
+    return other;
 }
 
 const UpstreamRecord *UpstreamDirectory::find(const std::string &id) const
@@ -141,8 +198,8 @@
         return known->second;
     std::vector<const UpstreamRecord *> &list = m_ready[service];
     for (const auto &[id, entry] : m_entries) {
-        if (entry.record.service == service && entry.record.state == UpstreamState::Ready
-            && !entry.misdirectedUntil)
+        if (entry.record.service == service && mayServe(entry)
+            && !m_notices.pausedUntil(id, entry.record.startedMs))
             list.push_back(&entry.record);
     }
     return list;
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t maximumPendingResponse = 262'144;
 constexpr Duration minimumTimeToSend { Milliseconds(5) };
 constexpr Duration defaultRetryAfter { Milliseconds(300) };
+// Callers return over up to this time after a pause of their upstreams.
+constexpr Duration longestReturnSpread { Seconds(5) };
 // A restarted gateway is back within about a second of its exit.
 constexpr Duration restartRetryAfter { Seconds(1) };
 // A safe request is retried at another upstream when the first is silent for this many objectives;
@@ -205,6 +207,15 @@
     return earliest;
 }
 
+std::optional<Duration> Exchange::timeUntilPauseEnds() const
+{
+    const auto end = m_state.upstreams.earliestReturn(m_service);
+    // While other upstreams are ready, the request was not placed for another reason.
+    if (!end || !m_state.upstreams.ready(m_service).empty())
+        return std::nullopt;
+    return std::max(Duration {}, *end - m_state.clock.now());
+}
+
 void Exchange::dispatch()
 {
     if (remaining() < minimumTimeToSend) {
@@ -279,7 +290,7 @@
     const TimePoint now = m_state.clock.now();
     m_decision = choosePlacement(makePlacementRequest());
     if (!m_decision.isPlaced()) {
-        if (!waitForRateLimit())
+        if (!waitForRateLimit() && !waitForPauses())
             refuseUnplaced();
         return;
     }
@@ -348,6 +359,17 @@
     return true;
 }
 
+bool Exchange::waitForPauses()
+{
+    const std::optional<Duration> wait = timeUntilPauseEnds();
+    const TimePoint latestStart = m_deadline - m_route->objective;
+    // What was sent once may not be sent to the same upstreams again.
+    if (!wait || m_history.attempts() > 0 || m_state.clock.now() + *wait > latestStart)
+        return false;
+    waitForPlacement(latestStart);
+    return true;
+}
+
 void Exchange::waitForPlacement(TimePoint latestStart)
 {
     m_waitingId = m_state.waiting.add(*this, latestStart);
@@ -379,6 +401,13 @@
     else if (m_decision.retryAfter)
         refuse(503, RefusalReason::QueueFull, "No upstream can answer in time.",
                m_decision.retryAfter);
+    else if (const auto pause = timeUntilPauseEnds())
+        // Callers that were rejected together must not return together.
+        refuse(503, RefusalReason::UpstreamPause,
+               "All upstreams of the service have asked for a pause.",
+               defaultRetryAfter + *pause
+                       + fromMilliseconds(inMilliseconds(std::min(*pause, longestReturnSpread))
+                                          * m_state.random.unit()));
     else if (m_history.failedUpstreams().size() < m_state.upstreams.ready(m_service).size())
         refuse(503, RefusalReason::QueueFull, "No upstream takes another connection.",
                defaultRetryAfter);
@@ -389,11 +418,15 @@
 
 void Exchange::sendAttempt()
 {
-    const UpstreamRecord *record = m_state.upstreams.find(m_decision.upstream);
-    if (record == nullptr || record->state != UpstreamState::Ready) {
+    // The upstreams may have changed while memory was reserved.
+    const auto isReady = [this](const std::string &id) { return m_state.upstreams.isReady(id); };
+    if (!isReady(m_decision.upstream)
+        || !std::all_of(m_decision.helpers.begin(), m_decision.helpers.end(), isReady)) {
         failAttempt(AttemptOutcome::NotSent, "upstream_left");
         return;
     }
+    const UpstreamRecord *record = m_state.upstreams.find(m_decision.upstream);
+    m_attemptUpstream = *record;
     m_attemptStartedAt = m_state.clock.now();
     m_firstEventSeen = false;
     m_buffer.clear();
@@ -475,6 +508,7 @@
         return;
     }
     recordRateLimit(head);
+    m_state.recordNotices(m_attemptUpstream, head);
     if (head.isSuccess() && (!hasRequestId || head.headers.find(names.signature) == nullptr))
         failAttempt(AttemptOutcome::Failed, "response_without_signature");
 }
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -50,6 +50,7 @@
     Duration expectedDuration() const;
     bool waitForBetterPlacement();
     bool waitForRateLimit();
+    bool waitForPauses();
     void waitForPlacement(TimePoint latestStart);
     void stopWaiting();
     void refuseUnplaced();
@@ -63,6 +64,7 @@
     int priority() const;
     PlacementRequest makePlacementRequest() const;
     std::optional<Duration> timeUntilRateLimitAllows() const;
+    std::optional<Duration> timeUntilPauseEnds() const;
     std::vector<const UpstreamRecord *>
     withoutOutliers(const std::vector<const UpstreamRecord *> &upstreams) const;
     void sendAttempt();
@@ -129,6 +131,7 @@
     std::shared_ptr<MemoryReserver> m_reserver;
     std::shared_ptr<HttpConnection> m_connection;
     TimePoint m_attemptStartedAt {};
+    UpstreamRecord m_attemptUpstream; ///< As listed when the attempt was sent.
     AttemptHistory m_history;
 
     ResponseHead m_responseHead; ///< Head of the response to the caller.
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -113,8 +113,7 @@
                                    m_peerExchange.directory().aliveShare(now));
     m_state.peerIsReady = m_peerExchange.directory().hasReadyPeer(now);
     updateZoneLocality();
-    for (const std::string &id : m_state.upstreams.expire(now, m_source.upstreamsCompleteUpTo(now)))
-        forgetUpstream(id);
+    expireUpstreams(now);
     m_state.ledger.expire(now);
     m_state.quarantine.update(now);
     m_state.rateLimits.expire(now);
@@ -130,6 +129,19 @@
         continueStop(now);
 }
 
+void GatewayProcess::expireUpstreams(TimePoint now)
+{
+    const UpstreamDirectory::Expired expired =
+            m_state.upstreams.expire(now, m_source.upstreamsCompleteUpTo(now));
+    for (const std::string &id : expired.removed) {
+        log(LogLevel::Info, "gateway", "upstream removed after a delay", { { "upstream", id } });
+        forgetUpstream(id);
+    }
+    for (const std::string &id : expired.returned)
+        log(LogLevel::Info, "gateway", "upstream's pause ended",
+            { { "upstream", id }, { "ready", m_state.upstreams.isReady(id) } });
+}
+
 void GatewayProcess::continueStop(TimePoint now)
 {
     const bool acceptsConnections = m_state.stop.acceptsConnections(now, m_state.peerIsReady);
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -34,6 +34,7 @@
     void waitForSignals();
     void reloadSettings();
     void beginStop();
+    void expireUpstreams(TimePoint now);
     void continueStop(TimePoint now);
     void closeListener();
     void reopenListener();
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -1,6 +1,9 @@
 #include "Services/Gateway/GatewayState.h"
 
+#include "lavenderpick/Base/Log.h"
+
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace Lavenderpick {
 
@@ -83,6 +86,37 @@
     return rateLimits.timeUntilAllowed(record.id, clock.now()) == Duration {};
 }
 
+void GatewayState::recordNotices(const UpstreamRecord &upstream, const ResponseHead &response)
+{
+    UpstreamRecord sender = upstream;
+    if (dialect.isMisdirected(response)) {
+        // Another process responded: the one that is listed at the same address, if it is known.
+        const auto other = upstreams.otherAtAddress(upstream.address, upstream.id);
+        if (!other)
+            return;
+        sender = *other;
+    }
+    const TimePoint now = clock.now();
+    if (dialect.isLeaving(response) && upstreams.recordLeaving(sender.id, sender.startedMs, now)) {
+        metrics.increment("lavenderpick_upstream_notices_total", "notice=\"leaving\"");
+        log(LogLevel::Info, "gateway", "upstream left out",
+            { { "upstream", sender.id },
+              { "reason", "leaving" },
+              { "until", "its process ends" },
+              { "status", response.status } });
+    }
+    const std::optional<Duration> pause = dialect.pause(response);
+    if (pause && upstreams.recordPause(sender.id, sender.startedMs, *pause, now)) {
+        metrics.increment("lavenderpick_upstream_notices_total", "notice=\"pause\"");
+        log(LogLevel::Info, "gateway", "upstream left out",
+            { { "upstream", sender.id },
+              { "reason", "pause" },
+              { "pause_ms",
+                toMilliseconds(std::min<Duration>(*pause, UpstreamNotices::longestPause)) },
+              { "status", response.status } });
+    }
+}
+
 bool GatewayState::isServedInOwnZone(const std::string &service) const
 {
     const auto &ready = upstreams.ready(service);
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -94,6 +94,9 @@
     /// Whether the limit that the upstream names allows a request now.
     bool mayUse(const UpstreamRecord &record) const;
 
+    /// Records what a response of this upstream's process says of it.
+    void recordNotices(const UpstreamRecord &upstream, const ResponseHead &response);
+
     /// Whether the service has a ready upstream in this gateway's availability zone.
     bool isServedInOwnZone(const std::string &service) const;
 
--- a/Services/Gateway/MemoryReserver.cpp
+++ b/Services/Gateway/MemoryReserver.cpp
@@ -24,7 +24,10 @@
         : m_state(state)
         , m_upstream(std::move(upstream))
         , m_done(std::move(done))
-    { }
+    {
+        if (const UpstreamRecord *record = m_state.upstreams.find(m_upstream))
+            m_record = *record;
+    }
 
     void send(const std::shared_ptr<ControlCall> &self, const std::string &address,
               const EngineCall &call)
@@ -49,7 +52,12 @@
 
     bool isPending() const { return m_self != nullptr; }
 
-    void headArrived(const ResponseHead &head) override { m_accepted = head.isSuccess(); }
+    void headArrived(const ResponseHead &head) override
+    {
+        m_accepted = head.isSuccess();
+        if (m_record)
+            m_state.recordNotices(*m_record, head);
+    }
     void bodyArrived(std::string_view) override { }
 
     void responseEnded() override
@@ -75,6 +83,7 @@
 
     GatewayState &m_state;
     std::string m_upstream;
+    std::optional<UpstreamRecord> m_record; ///< As listed when the call was sent.
     std::function<void(bool)> m_done;
     std::shared_ptr<HttpConnection> m_connection;
     std::shared_ptr<ControlCall> m_self;
--- a/Tests/LibForward/TestUpstreamDirectory.cpp
+++ b/Tests/LibForward/TestUpstreamDirectory.cpp
@@ -47,8 +47,9 @@
     directory.remove("b", start + Milliseconds(100));
     BOOST_CHECK_EQUAL(directory.ready("s").size(), 2);
     directory.put(upstream("b"));
-    BOOST_CHECK(directory.expire(start + Milliseconds(1'900), start + Milliseconds(1'900)).empty());
-    BOOST_CHECK(directory.expire(start + Milliseconds(2'000), start + Milliseconds(2'000))
+    BOOST_CHECK(directory.expire(start + Milliseconds(1'900), start + Milliseconds(1'900))
+                        .removed.empty());
+    BOOST_CHECK(directory.expire(start + Milliseconds(2'000), start + Milliseconds(2'000)).removed
                 == std::vector<std::string> { "a" });
     BOOST_REQUIRE_EQUAL(directory.ready("s").size(), 1);
     BOOST_CHECK_EQUAL(directory.ready("s").front()->id, "b");
@@ -129,10 +130,11 @@
     directory.remove("a", start);
     const TimePoint end = start + Seconds(2);
     directory.recordStoreResponse(end);
-    BOOST_CHECK(directory.expire(end + Milliseconds(499), end - Milliseconds(1)).empty());
+    BOOST_CHECK(directory.expire(end + Milliseconds(499), end - Milliseconds(1)).removed.empty());
     directory.remove("b", end + Milliseconds(499)); // Did not expire in the outage.
     BOOST_CHECK_EQUAL(directory.size(), 1);
-    BOOST_CHECK_EQUAL(directory.expire(end + Milliseconds(500), end - Milliseconds(1)).size(), 1);
+    BOOST_CHECK_EQUAL(
+            directory.expire(end + Milliseconds(500), end - Milliseconds(1)).removed.size(), 1);
 }
 
 BOOST_AUTO_TEST_CASE(expiredEntriesAreKeptIfNoGatewayReachedTheStore)
@@ -145,8 +147,9 @@
     BOOST_CHECK(directory.remove("a", start + Seconds(3)));
     BOOST_CHECK(!directory.remove("b", start + Seconds(3)));
     BOOST_CHECK_EQUAL(directory.size(), 1);
-    BOOST_CHECK(directory.expire(start + Milliseconds(4'900), start + Milliseconds(4'900)).empty());
-    BOOST_CHECK(directory.expire(start + Seconds(5), start + Seconds(5))
+    BOOST_CHECK(directory.expire(start + Milliseconds(4'900), start + Milliseconds(4'900))
+                        .removed.empty());
+    BOOST_CHECK(directory.expire(start + Seconds(5), start + Seconds(5)).removed
                 == std::vector<std::string> { "a" });
 }
 
--- a/Tests/PlatformAdapter/TestRecordDecoder.cpp
+++ b/Tests/PlatformAdapter/TestRecordDecoder.cpp
@@ -163,6 +163,43 @@
     BOOST_CHECK(!dialect.rateLimit({}));
 }
 
+BOOST_AUTO_TEST_CASE(readsWhetherAnUpstreamLeaves)
+{
+    const Platform::PlatformDialect dialect;
+    BOOST_CHECK(!dialect.isLeaving({}));
+    for (const auto &[text, leaves] :
+         std::vector<std::pair<std::string, bool>> { { "1", true },
+                                                     { "0", false },
+                                                     { "", false },
+                                                     { "11", false },
+                                                     { "yes", false } }) {
+        ResponseHead head;
+        head.headers.add("server-leaving", text);
+        BOOST_CHECK_MESSAGE(dialect.isLeaving(head) == leaves, text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(readsHowLongAnUpstreamWantsNothing)
+{
+    const Platform::PlatformDialect dialect;
+    const auto pauseMs = [&](const std::vector<std::string> &fields, int status = 503) {
+        ResponseHead head { .status = status };
+        for (const std::string &field : fields)
+            head.headers.add("Retry-After", field);
+        const auto pause = dialect.pause(head);
+        return pause ? toMilliseconds(*pause) : -1;
+    };
+    BOOST_CHECK_EQUAL(pauseMs({ "3" }), 3'000);
+    BOOST_CHECK_EQUAL(pauseMs({ "0.25" }), 250);
+    BOOST_CHECK_EQUAL(pauseMs({ "3" }, 429), -1);
+    BOOST_CHECK_EQUAL(pauseMs({ "3" }, 200), -1);
+    BOOST_CHECK_EQUAL(pauseMs({ "1", "4", "x" }), 4'000); // The longest holds.
+    BOOST_CHECK_EQUAL(pauseMs({ "99999999999999999999" }), 86'400'000);
+    for (const char *text :
+         { "", "0", "-3", "3 s", "soon", "nan", "inf", "1e999", "Wed, 21 Oct 2026 07:28:00 GMT" })
+        BOOST_CHECK_MESSAGE(pauseMs({ text }) == -1, text);
+}
+
 BOOST_AUTO_TEST_CASE(onlyNotExecutedHeaderOrMisdirectedStatusProvesNotRun)
 {
     const Platform::PlatformDialect dialect;
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -150,29 +150,39 @@
 
 
 class Runner(StandIn):
-    """Answers calls at once, or after `delay` seconds, and streams of five events."""
+    """Answers calls at once, or after `delay` seconds, and streams of five events. All answers have the fields of
+    `extra_headers`. While `retry_after` is set, requests are turned away with it."""
 
     def __init__(self, store, identifier, service):
         self.identifier = identifier
         self.service = service
         self.store = store
         self.delay = 0
+        self.extra_headers = {}
+        self.retry_after = None
+        self.arrived = []  # Time and id of each request.
         self.ran = []
         super().__init__()
         self.register("ready")
 
-    def register(self, state):
+    def register(self, state, born=1):
         self.store.put("servers", self.identifier, {
             "service": self.service, "address": self.address, "zone": "a", "version": "v1", "capacity": 8,
-            "state": state, "coldLeftMs": 0, "seq": 1, "born": 1})
+            "state": state, "coldLeftMs": 0, "seq": 1, "born": born})
 
     def answer(self, handler):
         handler.read_body()
         if handler.headers.get("X-Expect-Instance") != self.identifier:
             handler.respond(421)
             return
-        self.ran.append(handler.headers["X-Attempt-Id"])
-        headers = {"X-Attempt-Id": handler.headers["X-Attempt-Id"], "X-Server-Seal": "seal"}
+        identifier = handler.headers["X-Attempt-Id"]
+        self.arrived.append((time.monotonic(), identifier))
+        if self.retry_after is not None:
+            handler.respond(503, b"", {"X-Attempt-Id": identifier, "X-Not-Executed": "1",
+                                       "Retry-After": self.retry_after, **self.extra_headers})
+            return
+        self.ran.append(identifier)
+        headers = {"X-Attempt-Id": identifier, "X-Server-Seal": "seal", **self.extra_headers}
         if handler.headers.get("X-Token-Counts"):
             self.stream(handler, headers)
             return
--- a/Tests/ServiceGateway/GatewayFixture.cpp
+++ b/Tests/ServiceGateway/GatewayFixture.cpp
@@ -40,6 +40,13 @@
     return limit == nullptr ? std::nullopt : std::optional<double>(std::stod(*limit));
 }
 
+std::optional<Duration> TestDialect::pause(const ResponseHead &response) const
+{
+    const std::string *pauseMs = response.headers.find("Pause-Ms");
+    return pauseMs == nullptr ? std::nullopt
+                              : std::optional<Duration>(Milliseconds(std::stoll(*pauseMs)));
+}
+
 std::string TestDialect::formatHelpers(const std::vector<PrefillHelper> &helpers) const
 {
     std::string list;
--- a/Tests/ServiceGateway/GatewayFixture.h
+++ b/Tests/ServiceGateway/GatewayFixture.h
@@ -24,6 +24,11 @@
         return response.headers.find("Not-Run") != nullptr;
     }
     std::optional<double> rateLimit(const ResponseHead &response) const override;
+    bool isLeaving(const ResponseHead &response) const override
+    {
+        return response.headers.find("Leaving") != nullptr;
+    }
+    std::optional<Duration> pause(const ResponseHead &response) const override;
     bool isMisdirected(const ResponseHead &response) const override
     {
         return response.status == 421;
--- a/include/lavenderpick/Base/Reasons.h
+++ b/include/lavenderpick/Base/Reasons.h
@@ -42,9 +42,10 @@
     NotFound,
     QuarantinedPrompt,
     UpstreamRateLimit,
+    UpstreamPause,
 };
 
-constexpr int refusalReasonCount = static_cast<int>(RefusalReason::UpstreamRateLimit) + 1;
+constexpr int refusalReasonCount = static_cast<int>(RefusalReason::UpstreamPause) + 1;
 
 std::string_view toString(RefusalReason reason);
 
--- a/include/lavenderpick/Forward/RequestDialect.h
+++ b/include/lavenderpick/Forward/RequestDialect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lavenderpick/Base/Clock.h"
 #include "lavenderpick/Forward/EngineLatencyModel.h"
 #include "lavenderpick/Forward/HttpMessage.h"
 
@@ -77,6 +78,13 @@
     /// response names no limit or it can't be parsed.
     virtual std::optional<double> rateLimit(const ResponseHead &response) const = 0;
 
+    /// Whether the upstream says that it leaves.
+    virtual bool isLeaving(const ResponseHead &response) const = 0;
+
+    /// For how long the upstream wants no further requests from this gateway; empty if the response
+    /// doesn't say so or it can't be parsed.
+    virtual std::optional<Duration> pause(const ResponseHead &response) const = 0;
+
     /// Reserves KV cache memory for `tokens` tokens. The reservation expires after `hold`; sending
     /// the call again renews it.
     virtual EngineCall reserveMemory(const std::string &reservation, std::int64_t tokens,
--- a/include/lavenderpick/Forward/UpstreamDirectory.h
+++ b/include/lavenderpick/Forward/UpstreamDirectory.h
@@ -2,6 +2,7 @@
 
 #include "lavenderpick/Base/Clock.h"
 #include "lavenderpick/Forward/StoreAvailability.h"
+#include "lavenderpick/Forward/UpstreamNotices.h"
 
 #include <cstdint>
 #include <map>
@@ -70,13 +71,35 @@
     /// The store responded to this gateway or to a peer.
     void recordStoreResponse(TimePoint at) { m_store.recordResponse(at); }
 
-    /// Carries out delayed removals once the grace period has ended, and ends misdirections;
-    /// returns the removed ids. `completeUpTo`: changes made up to then were applied.
-    std::vector<std::string> expire(TimePoint now, TimePoint completeUpTo);
+    /// A response of the upstream's process that started at `startedMs` said that it leaves, or
+    /// that it wants no requests for `pause`; see `UpstreamNotices`. Returns whether that is new.
+    bool recordLeaving(const std::string &id, std::int64_t startedMs, TimePoint now);
+    bool recordPause(const std::string &id, std::int64_t startedMs, Duration pause, TimePoint now);
+
+    struct Expired
+    {
+        std::vector<std::string> removed;
+        std::vector<std::string> returned; ///< Their pauses have ended.
+    };
+
+    /// Carries out delayed removals once the grace period has ended, and ends misdirections and
+    /// pauses. `completeUpTo`: changes made up to then were applied.
+    Expired expire(TimePoint now, TimePoint completeUpTo);
 
     /// Null when the id is not listed.
     const UpstreamRecord *find(const std::string &id) const;
 
+    /// Whether the upstream may get new requests.
+    bool isReady(const std::string &id) const;
+
+    /// When the first of the service's upstreams that are only paused may be asked again; empty if
+    /// there is none.
+    std::optional<TimePoint> earliestReturn(const std::string &service) const;
+
+    /// The only listed upstream at the address besides `id`; empty if there is none or several.
+    std::optional<UpstreamRecord> otherAtAddress(const std::string &address,
+                                                 const std::string &id) const;
+
     /// The upstreams of the service that may get new requests, by id. Valid until the next change.
     const std::vector<const UpstreamRecord *> &ready(const std::string &service) const;
 
@@ -96,6 +119,7 @@
         std::optional<TimePoint> misdirectedUntil {};
     };
 
+    bool mayServe(const Entry &entry) const;
     bool graceHasEnded(TimePoint now, TimePoint completeUpTo) const;
     void recordChange();
     void endMisdirections(TimePoint now);
@@ -103,6 +127,7 @@
     std::map<std::string, Entry> m_entries;
     mutable std::map<std::string, std::vector<const UpstreamRecord *>> m_ready;
     StoreAvailability m_store;
+    UpstreamNotices m_notices;
     std::uint64_t m_generation { 0 };
 };
 
