--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -465,8 +465,8 @@
     if (!isReader())
         return;
     std::int64_t previousChange = changes.previousChange;
-    for (std::size_t start = 0; start < changes.entries.size(); start += changesPerDatagram) {
-        const std::size_t end = std::min(start + changesPerDatagram, changes.entries.size());
+    for (std::size_t start = 0, end = 0; start < changes.entries.size(); start = end) {
+        end = changes.endOfTransaction(start + changesPerDatagram);
         nlohmann::json datagram = makeDatagram(nlohmann::json::array());
         datagram["previous_change"] = previousChange;
         for (std::size_t index = start; index < end; ++index)
--- a/Tests/LibForward/TestFeedSchedule.cpp
+++ b/Tests/LibForward/TestFeedSchedule.cpp
@@ -1,4 +1,5 @@
 #include "FollowingGateways.h"
+#include "lavenderpick/Forward/ControlPlaneSource.h"
 #include "lavenderpick/Forward/FeedSchedule.h"
 
 #include <boost/test/unit_test.hpp>
@@ -233,4 +234,15 @@
     }
 }
 
+// A gateway that got only a part of a transaction would take the rest for known.
+BOOST_AUTO_TEST_CASE(transactionsAreNotParted)
+{
+    UpstreamChangeSet changes;
+    for (const std::int64_t revision : { 1, 2, 2, 2, 5, 5 })
+        changes.entries.push_back({ .revision = revision });
+    const std::vector<std::size_t> ends { 0, 1, 4, 4, 4, 6, 6, 6 };
+    for (std::size_t index = 0; index < ends.size(); ++index)
+        BOOST_CHECK_EQUAL(changes.endOfTransaction(index), ends[index]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/PlatformAdapter/TestStoreSource.cpp
+++ b/Tests/PlatformAdapter/TestStoreSource.cpp
@@ -329,6 +329,30 @@
     BOOST_CHECK_EQUAL(store.calls, calls);
 }
 
+// Rows that change in one transaction share its revision; only the first one was applied.
+BOOST_AUTO_TEST_CASE(followerAppliesAllRowsOfATransaction)
+{
+    start();
+    source.setRole(FeedRole::Follower);
+    store.remove("servers", "i-1"); // Completes the open poll, which is the last one.
+    BOOST_REQUIRE(runUntil([&] { return observer.changes.size() == 1; }));
+    const std::int64_t last = source.report(clock.now()).upstreams.newestChange;
+    const auto entry = [&](std::int64_t revision, const std::string &id) {
+        return UpstreamChangeSet::Entry { .revision = revision, .change = { .id = id } };
+    };
+    const UpstreamChangeSet changes { .previousChange = last,
+                                      .entries = { entry(last + 2, "a"), entry(last + 2, "b"),
+                                                   entry(last + 5, "c"), entry(last + 5, "c"),
+                                                   entry(last + 5, "d") } };
+    source.peerReadChanges(changes, clock.now());
+    BOOST_REQUIRE_EQUAL(observer.changes.size(), 6);
+    BOOST_CHECK_EQUAL(observer.changes[2].id, "b");
+    BOOST_CHECK_EQUAL(observer.changes.back().id, "d");
+    // The other reader sends the same changes.
+    source.peerReadChanges(changes, clock.now());
+    BOOST_CHECK_EQUAL(observer.changes.size(), 6);
+}
+
 BOOST_AUTO_TEST_CASE(followerReadsTheStoreWhenAPeersChangesLeaveAGap)
 {
     start();
