ByteStream: Finish a response when its output is written

What callers saw: in a planned stop, answers of several megabytes ended early, though the grace period had seconds left.

Cause: a connection that closes after its response was dropped from the list of connections at once, so that the process exited without waiting for its output, and it was closed a second later in any case.

Change: a connection with pending output is busy and stays listed; the last second begins when the output is written. A caller that reads nothing for 15 s is cut.

Ruled out: aborted exchanges; all were logged as finished.

--- a/Services/Gateway/ByteStream.cpp
+++ b/Services/Gateway/ByteStream.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t readBufferBytes = 65'536;
 // A caller needs one round trip to receive the response; the rest allows for lost packets.
 constexpr Milliseconds lingerTimeout { 1'000 };
+// A peer that reads nothing for this long counts as gone.
+constexpr Seconds stalledOutputTimeout { 15 };
 // Users limit the time a request may wait for an unresponsive peer to about 3 s.
 constexpr int unacknowledgedTimeoutMs = 1'500;
 constexpr int keepAliveIdleSeconds = 1;
@@ -160,6 +162,8 @@
         return;
     }
     m_output.erase(0, bytesWritten);
+    if (m_closeAfterOutput)
+        limitClosing(m_output.empty() ? lingerTimeout : stalledOutputTimeout);
     if (!m_output.empty()) {
         waitForOutput();
         return;
@@ -208,12 +212,17 @@
     asio::error_code ignored;
     if (m_output.empty())
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    m_lingerTimer = std::make_unique<asio::steady_timer>(m_socket.get_executor(), lingerTimeout);
+    limitClosing(m_output.empty() ? lingerTimeout : stalledOutputTimeout);
+    resumeReading();
+}
+
+void ByteStream::limitClosing(Duration limit)
+{
+    m_lingerTimer = std::make_unique<asio::steady_timer>(m_socket.get_executor(), limit);
     m_lingerTimer->async_wait([self = shared_from_this()](const asio::error_code &error) {
         if (!error)
             self->finishClosing();
     });
-    resumeReading();
 }
 
 } // namespace Lavenderpick
--- a/Services/Gateway/ByteStream.h
+++ b/Services/Gateway/ByteStream.h
@@ -53,10 +53,13 @@
     void reset();
 
     /// Sends the buffered output, shuts down the sending side and closes when the peer closes or
-    /// after `lingerTimeout`. Input is read and discarded: closing with unread input would reset
-    /// the connection and lose the output.
+    /// after a while; also if the peer reads nothing for `stalledOutputTimeout`. Input is read and
+    /// discarded: closing with unread input would reset the connection and lose the output.
     void closeAfterOutput();
 
+    /// Whether output waits for the peer to read.
+    bool hasPendingOutput() const { return isOpen() && !m_output.empty(); }
+
     /// Whether bytes have arrived that were not read yet.
     bool hasUnreadInput() const;
 
@@ -69,6 +72,7 @@
     void flush();
     void waitForOutput();
     void handleEnd(bool orderly);
+    void limitClosing(Duration limit);
     void finishClosing();
 
     asio::ip::tcp::socket m_socket;
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -122,7 +122,7 @@
                                                                       m_connections.end());
     for (const auto &connection : connections)
         connection->checkTimeouts(now);
-    std::erase_if(m_connections, [](const auto &connection) { return !connection->isOpen(); });
+    std::erase_if(m_connections, [](const auto &connection) { return connection->isFinished(); });
     if (!m_accepting && m_acceptor.is_open())
         accept();
     if (m_state.stop.isStopping())
--- a/Services/Gateway/InboundConnection.cpp
+++ b/Services/Gateway/InboundConnection.cpp
@@ -230,7 +230,11 @@
 
 bool InboundConnection::isBusy() const
 {
-    if (m_exchange || !m_parser.isIdle() || m_stream->hasUnreadInput())
+    if (m_exchange || m_stream->hasPendingOutput())
+        return true;
+    if (!m_open)
+        return false;
+    if (!m_parser.isIdle() || m_stream->hasUnreadInput())
         return true;
     return !m_hasServed && m_state.clock.now() - m_idleSince < firstRequestGrace;
 }
--- a/Services/Gateway/InboundConnection.h
+++ b/Services/Gateway/InboundConnection.h
@@ -26,9 +26,10 @@
     /// Closes the connection unless it is busy.
     void closeIfIdle();
 
-    bool isOpen() const { return m_open; }
+    /// Whether the connection serves no more requests and all its output was written.
+    bool isFinished() const { return !m_open && !m_stream->hasPendingOutput(); }
 
-    /// Whether a request is in progress or may have arrived.
+    /// Whether a request is in progress or may have arrived, or a response is not written yet.
     bool isBusy() const;
 
     void writeResponse(std::string_view bytes) override;
--- a/Tests/Processes/GatewayTest.py
+++ b/Tests/Processes/GatewayTest.py
@@ -143,6 +143,45 @@
             connection.close()
         self.assertTrue(any(line["message"] == "no longer accepting" for line in gateway.lines()))
 
+    def read_slowly(self, gateway, number, pause_s=0.0, bytes_per_s=None):
+        """Sends a lookup and reads its answer slowly, or after a pause; returns the number of the body's bytes."""
+        host, port = gateway.callers.split(":")
+        with socket.socket() as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            connection.settimeout(20)
+            connection.connect((host, int(port)))
+            connection.sendall(b"GET /lookup/ HTTP/1.1\r\nHost: h\r\nApi-Key: key-1\r\n"
+                               b"X-Attempt-Id: s%d\r\nX-Deadline-Ms: 5000\r\n\r\n" % number)
+            received = connection.recv(1000)
+            time.sleep(pause_s)
+            head, body = received.split(b"\r\n\r\n", 1)
+            expected = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+            count = len(body)
+            while count < expected:
+                try:
+                    data = connection.recv(65536 if bytes_per_s is None else max(1, bytes_per_s // 50))
+                except ConnectionResetError:
+                    break
+                if not data:
+                    break
+                count += len(data)
+                if bytes_per_s is not None:
+                    time.sleep(0.02)
+            return count
+
+    def test_a_stop_waits_for_callers_that_read_slowly(self):
+        # The process exited, or closed a connection after a second, with output that was not written yet.
+        gateway = self.start()
+        for runner in self.runners:
+            runner.body = b"x" * 5_500_000
+        with concurrent.futures.ThreadPoolExecutor(20) as threads:
+            answers = [threads.submit(self.read_slowly, gateway, number, 0.0, 1_000_000) for number in range(20)]
+            time.sleep(0.5)
+            gateway.process.send_signal(signal.SIGTERM)
+            for answer in answers:
+                self.assertEqual(answer.result(), 5_500_000)
+        self.assertEqual(gateway.process.wait(8), 0)
+
     def test_a_stop_takes_no_call_that_it_cannot_finish(self):
         # Late in the grace period, calls that take long were accepted and cut without an answer at its end.
         gateway = self.start()
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -160,6 +160,7 @@
         self.delay = 0
         self.extra_headers = {}
         self.retry_after = None
+        self.body = None  # Instead of the usual one.
         self.arrived = []  # Time and id of each request.
         self.ran = []
         super().__init__()
@@ -187,7 +188,8 @@
             self.stream(handler, headers)
             return
         time.sleep(self.delay)
-        handler.respond(200, json.dumps({"tenant": handler.headers.get("X-Tenant-Name")}).encode(), headers)
+        usual = json.dumps({"tenant": handler.headers.get("X-Tenant-Name")}).encode()
+        handler.respond(200, usual if self.body is None else self.body, headers)
 
     def stream(self, handler, headers):
         handler.send_response(200)
