ByteStream: Let callers of large responses pause while reading

What callers saw: a caller that read nothing for two seconds within an answer of a megabyte or more was reset.

Cause: the kernel's timeout for unacknowledged data, 1.5 s on callers' connections, counts a closed window too.

Change: after 16 KiB of a plain response the timeout is 15 s until the next request.

Ruled out: a close by the gateway; it logs none.

--- a/Services/Gateway/ByteStream.cpp
+++ b/Services/Gateway/ByteStream.cpp
@@ -12,10 +12,11 @@
 constexpr std::size_t readBufferBytes = 65'536;
 // A caller needs one round trip to receive the response; the rest allows for lost packets.
 constexpr Milliseconds lingerTimeout { 1'000 };
-// A peer that reads nothing for this long counts as gone.
-constexpr Seconds stalledOutputTimeout { 15 };
 // Users limit the time a request may wait for an unresponsive peer to about 3 s.
 constexpr int unacknowledgedTimeoutMs = 1'500;
+// A peer that reads nothing for this long counts as gone.
+constexpr int slowReaderTimeoutMs = 15'000;
+constexpr Milliseconds stalledOutputTimeout { slowReaderTimeoutMs };
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
@@ -51,6 +52,13 @@
     setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedTimeoutMs, "TCP_USER_TIMEOUT");
 }
 
+void ByteStream::setSlowReader(bool slow)
+{
+    if (isOpen())
+        setOption(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                  slow ? slowReaderTimeoutMs : unacknowledgedTimeoutMs, "TCP_USER_TIMEOUT");
+}
+
 void ByteStream::startReading()
 {
     if (!m_readPending)
--- a/Services/Gateway/ByteStream.h
+++ b/Services/Gateway/ByteStream.h
@@ -37,6 +37,10 @@
     /// that stops responding is detected.
     void configureSocket();
 
+    /// Whether the peer may stop reading for a while. The kernel's timeout for unacknowledged data
+    /// counts the time of a closed window too, so a dead peer is then detected later.
+    void setSlowReader(bool slow);
+
     void setHandler(ByteStreamHandler *handler) { m_handler = handler; }
     void startReading();
     void pauseReading() { m_paused = true; }
--- a/Services/Gateway/CallerStream.h
+++ b/Services/Gateway/CallerStream.h
@@ -19,6 +19,9 @@
     /// Bytes of the response that the caller has not read yet.
     virtual std::size_t pendingResponseBytes() const = 0;
 
+    /// The response is so large that the caller may pause while reading it.
+    virtual void tolerateSlowReader() = 0;
+
     /// Ends a complete response. The connection is closed unless `keepAlive` is set.
     virtual void finishResponse(bool keepAlive) = 0;
 
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -19,8 +19,8 @@
 constexpr Duration connectTimeout { Milliseconds(400) };
 // Responses up to this size are buffered until complete, so that truncated ones can be retried.
 constexpr std::size_t maximumBufferedResponse = 65'536;
-// Output pending for a slow caller above which reading from the upstream is paused.
-constexpr std::size_t maximumPendingResponse = 262'144;
+// A larger body may not fit in a caller's receive window.
+constexpr std::size_t smallBodyBytes = 16'384;
 constexpr Duration minimumTimeToSend { Milliseconds(5) };
 constexpr Duration defaultRetryAfter { Milliseconds(300) };
 // Callers return over up to this time after a pause of their upstreams.
@@ -611,7 +611,11 @@
 void Exchange::writeBody(std::string_view bytes)
 {
     m_writer.writeBody(bytes);
-    if (m_connection && m_caller.pendingResponseBytes() > maximumPendingResponse)
+    const bool wasSmall = m_bodyBytes <= smallBodyBytes;
+    m_bodyBytes += bytes.size();
+    if (wasSmall && m_bodyBytes > smallBodyBytes && !isStream())
+        m_caller.tolerateSlowReader();
+    if (m_connection && m_caller.pendingResponseBytes() > m_state.maximumPendingResponse())
         m_connection->pauseReading();
 }
 
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -137,6 +137,7 @@
     ResponseHead m_responseHead; ///< Head of the response to the caller.
     ResponseHead m_attemptHead;  ///< Head of the open attempt's response.
     ResponseWriter m_writer;
+    std::size_t m_bodyBytes { 0 }; ///< Written to the caller.
     bool m_firstEventSeen { false };
     std::string m_buffer; ///< Body bytes received before the response is begun.
     EventSplitter m_events;
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -57,6 +57,15 @@
     return static_cast<std::size_t>(settings.memoryBytes / bodyMemoryDivisor);
 }
 
+std::size_t GatewayState::maximumPendingResponse() const
+{
+    constexpr std::size_t smallest = 16'384;
+    constexpr std::size_t largest = 262'144;
+    constexpr std::int64_t outputMemoryDivisor = 4;
+    const auto memory = static_cast<std::size_t>(settings.memoryBytes / outputMemoryDivisor);
+    return std::clamp(memory / std::max<std::size_t>(1, openRequests), smallest, largest);
+}
+
 int GatewayState::maximumConnections(const std::string &service) const
 {
     const ServiceProfile *profile = configuration ? configuration->findService(service) : nullptr;
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -84,6 +84,9 @@
     /// Upper limit of `bufferedBytes`.
     std::size_t maximumBufferedBytes() const;
 
+    /// Output pending for one slow caller, in bytes, above which reading from the upstream pauses.
+    std::size_t maximumPendingResponse() const;
+
     /// Maximum number of connections from all gateways to one upstream of the service; zero for no
     /// limit.
     int maximumConnections(const std::string &service) const;
--- a/Services/Gateway/InboundConnection.cpp
+++ b/Services/Gateway/InboundConnection.cpp
@@ -63,6 +63,10 @@
         }
         if (m_parser.isIdle())
             m_requestStartedAt = m_state.clock.now();
+        if (m_toleratesSlowReader && !m_stream->hasPendingOutput()) {
+            m_toleratesSlowReader = false;
+            m_stream->setSlowReader(false);
+        }
         bytes.remove_prefix(m_parser.feed(bytes));
         if (m_parser.state() == HttpParser::State::Failed)
             rejectMalformedRequest();
@@ -164,6 +168,12 @@
     m_stream->write(bytes);
 }
 
+void InboundConnection::tolerateSlowReader()
+{
+    m_toleratesSlowReader = true;
+    m_stream->setSlowReader(true);
+}
+
 void InboundConnection::finishResponse(bool keepAlive)
 {
     if (!keepAlive) {
--- a/Services/Gateway/InboundConnection.h
+++ b/Services/Gateway/InboundConnection.h
@@ -34,6 +34,7 @@
 
     void writeResponse(std::string_view bytes) override;
     std::size_t pendingResponseBytes() const override { return m_stream->pendingOutput(); }
+    void tolerateSlowReader() override;
     void finishResponse(bool keepAlive) override;
     void abortResponse(BodyFraming framing) override;
 
@@ -67,6 +68,7 @@
     bool m_rejected { false };
     bool m_requestComplete { false };
     bool m_parsing { false };
+    bool m_toleratesSlowReader { false };
     bool m_open { true };
 };
 
--- a/Tests/Processes/GatewayTest.py
+++ b/Tests/Processes/GatewayTest.py
@@ -182,6 +182,15 @@
                 self.assertEqual(answer.result(), 5_500_000)
         self.assertEqual(gateway.process.wait(8), 0)
 
+    def test_a_caller_that_pauses_while_reading_gets_its_whole_answer(self):
+        # The kernel's timeout for unacknowledged data counts a closed window, and reset the connection after 1.5 s.
+        gateway = self.start()
+        for runner in self.runners:
+            runner.body = b"x" * 4_000_000
+        with concurrent.futures.ThreadPoolExecutor(4) as threads:
+            for answer in [threads.submit(self.read_slowly, gateway, number, 4.0) for number in range(4)]:
+                self.assertEqual(answer.result(), 4_000_000)
+
     def test_a_stop_takes_no_call_that_it_cannot_finish(self):
         # Late in the grace period, calls that take long were accepted and cut without an answer at its end.
         gateway = self.start()
--- a/Tests/ServiceGateway/TestInboundConnection.cpp
+++ b/Tests/ServiceGateway/TestInboundConnection.cpp
@@ -123,4 +123,16 @@
     BOOST_CHECK_EQUAL(upstream.received().size(), 1U);
 }
 
+// A thousand callers that read slowly must not use up the memory of a small VM.
+BOOST_AUTO_TEST_CASE(pendingOutputIsBoundedByTheMemory)
+{
+    state.settings.memoryBytes = 160 * 1'048'576;
+    BOOST_CHECK_EQUAL(state.maximumPendingResponse(), 262'144);
+    state.openRequests = 1'000;
+    BOOST_CHECK_LE(1'000 * state.maximumPendingResponse(), 40 * 1'048'576);
+    state.openRequests = 100'000;
+    BOOST_CHECK_EQUAL(state.maximumPendingResponse(), 16'384);
+    state.openRequests = 0;
+}
+
 BOOST_AUTO_TEST_SUITE_END()
