ResponseWriter: Write nothing after a response without a body

What callers saw: five stray bytes after a response to HEAD whose upstream announced chunks; a 204 or 304 with a length or chunks among its fields ended at the deadline only.

Cause: the writer went by the framing alone and the parser by the method alone.

Change: both go by method and status. 205 has a length of zero.

Ruled out: bytes of the upstream; it sends a head only.

--- a/Libraries/LibForward/HttpParser.cpp
+++ b/Libraries/LibForward/HttpParser.cpp
@@ -50,7 +50,7 @@
         if (owner.m_state == State::Body)
             return 0; // Trailers of a chunked body.
         owner.finishHead();
-        return owner.m_toHeadRequest ? 1 : 0;
+        return owner.hasNoBody() ? 1 : 0; // 1: the message ends with its head.
     }
 
     static int body(http_parser *parser, const char *bytes, std::size_t size)
@@ -144,9 +144,7 @@
                 parser.http_major > 1 || (parser.http_major == 1 && parser.http_minor >= 1);
     } else {
         m_response.status = static_cast<int>(parser.status_code);
-        const bool hasNoBody = m_toHeadRequest || m_response.status < 200
-                || m_response.status == 204 || m_response.status == 304;
-        if (framing == BodyFraming::None && !hasNoBody)
+        if (framing == BodyFraming::None && !hasNoBody())
             framing = BodyFraming::UntilClose;
         m_response.framing = framing;
         m_response.contentLength = hasLength ? parser.content_length : 0;
@@ -158,6 +156,14 @@
     m_listener.headParsed();
 }
 
+bool HttpParser::hasNoBody() const
+{
+    if (m_type == MessageType::Request)
+        return false;
+    return m_toHeadRequest || m_response.status < 200 || m_response.status == 204
+            || m_response.status == 304;
+}
+
 std::size_t HttpParser::computeHeadBytes() const
 {
     const HeaderList &headers =
--- a/Services/Gateway/ResponseWriter.cpp
+++ b/Services/Gateway/ResponseWriter.cpp
@@ -2,12 +2,28 @@
 
 namespace Lavenderpick {
 
+namespace {
+
+constexpr int resetContentStatus = 205;
+
+/// Whether responses with this status end with their heads, whatever their fields announce.
+bool isBodiless(int status)
+{
+    constexpr int noContentStatus = 204;
+    constexpr int notModifiedStatus = 304;
+    constexpr int firstFinalStatus = 200;
+    return status < firstFinalStatus || status == noContentStatus || status == resetContentStatus
+            || status == notModifiedStatus;
+}
+
+} // namespace
+
 void ResponseWriter::begin(const ResponseHead &response, bool isStream, bool closesConnection)
 {
     if (m_begun)
         return;
     m_framing = response.framing;
-    if (isStream || m_framing == BodyFraming::UntilClose)
+    if ((isStream || m_framing == BodyFraming::UntilClose) && !isBodiless(response.status))
         m_framing = m_request.acceptsChunked ? BodyFraming::Chunked : BodyFraming::UntilClose;
     writeHead(response, response.contentLength, closesConnection);
 }
@@ -16,9 +32,9 @@
                                    bool closesConnection)
 {
     m_framing = BodyFraming::Length;
-    writeHead(response, body.size(), closesConnection);
-    if (m_request.method != "HEAD" && !body.empty())
-        m_caller.writeResponse(body);
+    const bool toHead = m_request.method == "HEAD";
+    writeHead(response, toHead ? response.contentLength : body.size(), closesConnection);
+    writeBody(body);
 }
 
 void ResponseWriter::writeGatewayResponse(std::string_view response)
@@ -31,6 +47,13 @@
                                bool closesConnection)
 {
     m_begun = true;
+    m_hasBody = m_request.method != "HEAD" && !isBodiless(response.status);
+    if (response.status == resetContentStatus) {
+        m_framing = BodyFraming::Length;
+        length = 0;
+    } else if (isBodiless(response.status)) {
+        m_framing = BodyFraming::None;
+    }
     std::string head = "HTTP/1.1 " + std::to_string(response.status) + " "
             + (response.reason.empty() ? std::string(reasonPhrase(response.status))
                                        : response.reason)
@@ -45,7 +68,7 @@
 
 void ResponseWriter::writeBody(std::string_view bytes)
 {
-    if (bytes.empty())
+    if (bytes.empty() || !m_hasBody)
         return;
     if (m_framing == BodyFraming::Chunked) {
         std::string chunk;
@@ -59,7 +82,7 @@
 
 void ResponseWriter::writeEnd()
 {
-    if (m_framing == BodyFraming::Chunked)
+    if (m_framing == BodyFraming::Chunked && m_hasBody)
         m_caller.writeResponse(lastChunk);
 }
 
--- a/Services/Gateway/ResponseWriter.h
+++ b/Services/Gateway/ResponseWriter.h
@@ -41,6 +41,7 @@
     CallerStream &m_caller;
     const RequestHead &m_request;
     BodyFraming m_framing { BodyFraming::None };
+    bool m_hasBody { true };
     bool m_begun { false };
 };
 
--- a/Tests/ServiceGateway/TestInboundConnection.cpp
+++ b/Tests/ServiceGateway/TestInboundConnection.cpp
@@ -135,4 +135,41 @@
     state.openRequests = 0;
 }
 
+// A last chunk followed such responses, which the caller took for the start of the next one.
+BOOST_AUTO_TEST_CASE(nothingFollowsAResponseWithoutABody)
+{
+    int status = 200;
+    std::string framing;
+    addUpstream("u1", [&](const ReceivedRequest &request, const auto &peer) {
+        peer->write("HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: "
+                    + request.header("Request-Id") + "\r\nProof: p\r\n" + framing + "\r\n");
+    });
+    struct Case
+    {
+        std::string method;
+        int status { 200 };
+        std::string framing;
+    };
+    const std::vector<Case> cases { { "HEAD", 200, "Transfer-Encoding: chunked\r\n" },
+                                    { "HEAD", 200, "Content-Length: 7\r\n" },
+                                    { "HEAD", 404, "Content-Length: 7\r\n" },
+                                    { "HEAD", 200, "" },
+                                    { "GET", 204, "" },
+                                    { "GET", 204, "Transfer-Encoding: chunked\r\n" },
+                                    { "GET", 205, "Content-Length: 0\r\n" },
+                                    { "GET", 304, "" },
+                                    { "GET", 304, "Content-Length: 7\r\n" } };
+    for (const Case &current : cases) {
+        status = current.status;
+        framing = current.framing;
+        const std::string bytes = sendRaw(current.method
+                                          + " /safe/ HTTP/1.1\r\nHost: h\r\nKey: k\r\n"
+                                            "Request-Id: r1\r\nConnection: close\r\n\r\n");
+        const std::string name = current.method + " " + std::to_string(status) + " " + framing;
+        BOOST_CHECK_MESSAGE(bytes.starts_with("HTTP/1.1 " + std::to_string(status)), name);
+        BOOST_CHECK_MESSAGE(bytes.ends_with("\r\n\r\n"), name);
+        BOOST_CHECK_MESSAGE(bytes.find("\r\n\r\n") == bytes.size() - 4, name + bytes);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/include/lavenderpick/Forward/HttpParser.h
+++ b/include/lavenderpick/Forward/HttpParser.h
@@ -74,6 +74,8 @@
 
     void finishHead();
     void finishField();
+    /// Whether the response ends with its head, whatever its fields announce.
+    bool hasNoBody() const;
     std::size_t computeHeadBytes() const;
 
     std::unique_ptr<Implementation> m_implementation;
