--- a/Tests/PlatformAdapter/TestStoreSource.cpp
+++ b/Tests/PlatformAdapter/TestStoreSource.cpp
@@ -82,6 +82,14 @@
 
     void setStatus(int status) { m_status = status; }
     void dropHistory() { m_historyGone = true; }
+    /// Listings return so many rows at a time; `betweenPages` runs after each page but the last.
+    void setPageSize(std::size_t rows, std::function<void()> betweenPages)
+    {
+        m_pageSize = rows;
+        m_betweenPages = std::move(betweenPages);
+    }
+    /// Runs before the next listing is answered.
+    void setBeforeListing(std::function<void()> action) { m_beforeListing = std::move(action); }
     void setSilent(bool silent) { m_silent = silent; }
     /// Whether responses are bodies without end.
     void setEndless(bool endless) { m_endless = endless; }
@@ -138,10 +146,23 @@
             respond(peer, 200, { { "revision", revision } });
         } else if (target.starts_with("/rows-get")) {
             ++listings;
+            const std::string from = parameter(target, "from");
             nlohmann::json records = nlohmann::json::array();
-            for (const auto &[key, row] : m_rows[table])
-                records.push_back(row);
-            respond(peer, 200, rowsResponse(records));
+            bool hasMore = false;
+            for (const auto &[key, row] : m_rows[table]) {
+                hasMore = records.size() == m_pageSize;
+                if (hasMore)
+                    break;
+                if (from.empty() || key > from.substr(0, from.find('%')))
+                    records.push_back(row);
+            }
+            nlohmann::json response = rowsResponse(records);
+            response["hasMore"] = hasMore;
+            if (const auto action = std::exchange(m_beforeListing, nullptr))
+                action();
+            respond(peer, 200, response);
+            if (hasMore && m_betweenPages)
+                m_betweenPages();
         } else if (m_historyGone) {
             m_historyGone = false;
             respond(peer, 410, nlohmann::json::object());
@@ -184,6 +205,9 @@
     bool m_historyGone { false };
     bool m_silent { false };
     bool m_endless { false };
+    std::size_t m_pageSize { 500 };
+    std::function<void()> m_betweenPages;
+    std::function<void()> m_beforeListing;
     asio::io_context &m_context;
     ScriptedUpstream m_server;
 };
@@ -424,6 +448,45 @@
     BOOST_CHECK_EQUAL(observer.lost, 0);
 }
 
+// A change to a row of an earlier page was lost, since the listing counted as of its last page.
+BOOST_AUTO_TEST_CASE(changesBetweenThePagesOfAListingAreRead)
+{
+    store.put("servers", "i-1", readyUpstreamBase64);
+    store.put("servers", "i-2", readyUpstreamBase64);
+    store.setPageSize(1, [this] { store.remove("servers", "i-1"); });
+    source.start(observer, { .address = "10.0.0.5:7340", .availabilityZone = "a" });
+    BOOST_REQUIRE(runUntil([&] { return !observer.listed.empty(); }));
+    source.setRole(FeedRole::Follower); // Reads without a wait.
+    advance(settings.maximumAge);
+    BOOST_REQUIRE(runUntil([&] { return !observer.changes.empty(); }));
+    BOOST_CHECK_EQUAL(observer.changes.front().id, "i-1");
+    BOOST_CHECK(!observer.changes.front().record);
+}
+
+// The new listing undid a change that a peer had passed on meanwhile, which was never read again.
+BOOST_AUTO_TEST_CASE(changesThatAPeerReadDuringANewListingAreNotLost)
+{
+    start();
+    store.dropHistory();
+    store.put("servers", "i-2", readyUpstreamBase64);
+    BOOST_REQUIRE(runUntil([&] { return observer.changes.size() == 1; }));
+    store.setBeforeListing([this] {
+        const std::int64_t previous = store.revision;
+        store.remove("servers", "i-1");
+        source.peerReadChanges(
+                { .previousChange = previous,
+                  .entries = { { .revision = store.revision, .change = { .id = "i-1" } } } },
+                clock.now());
+    });
+    advance(settings.changeSpacing);
+    BOOST_REQUIRE(runUntil([&] { return observer.listed.size() == 2; }));
+    observer.changes.clear();
+    source.setRole(FeedRole::Follower); // Reads without a wait.
+    advance(settings.maximumAge);
+    BOOST_REQUIRE(runUntil([&] { return !observer.changes.empty(); }));
+    BOOST_CHECK_EQUAL(observer.changes.back().id, "i-1");
+}
+
 BOOST_AUTO_TEST_CASE(reportsStoreLostAndRegained)
 {
     start();
--- a/include/lavenderpick/Forward/ControlPlaneSource.h
+++ b/include/lavenderpick/Forward/ControlPlaneSource.h
@@ -45,7 +45,8 @@
     std::int64_t previousChange { 0 }; ///< Revision of the change before the first entry.
     std::vector<Entry> entries;        ///< Those of one transaction share its revision.
 
-    /// The first index from `index` on at which the entries can be parted: not within a transaction.
+    /// The first index from `index` on at which the entries can be parted: not within a
+    /// transaction.
     std::size_t endOfTransaction(std::size_t index) const;
 
     bool operator==(const UpstreamChangeSet &) const = default;
