Json: Write text that is not UTF-8 without ending the process

What callers saw: a request whose id or prompt parts hold bytes that are no UTF-8 ended the gateway's process, and with it the requests of all other callers.

Cause: orders and datagrams are written as JSON from such bytes, and nlohmann::json throws for them outside any handler.

Change: toJsonText replaces such bytes; all places that write JSON from bytes of callers, upstreams or peers use it.

Ruled out: log lines, which replaced them already.

Measured: test_ids_and_prompt_parts_that_are_no_text_end_no_process failed before (exit code -6) and passes.

--- a/Libraries/LibBase/Json.cpp
+++ b/Libraries/LibBase/Json.cpp
@@ -87,6 +87,11 @@
     }
 }
 
+std::string toJsonText(const nlohmann::json &json)
+{
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string toCbor(const nlohmann::json &json)
 {
     std::string bytes;
--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -2,6 +2,7 @@
 
 #include "BoundedLineSink.h"
 #include "lavenderpick/Base/Error.h"
+#include "lavenderpick/Base/Json.h"
 
 #include <array>
 #include <atomic>
@@ -85,7 +86,7 @@
     line["component"] = component;
     line["message"] = message;
     static boost::log::sources::logger_mt logger;
-    BOOST_LOG(logger) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    BOOST_LOG(logger) << toJsonText(line);
 }
 
 } // namespace Lavenderpick
--- a/Libraries/LibHttp/HttpServer.cpp
+++ b/Libraries/LibHttp/HttpServer.cpp
@@ -123,7 +123,7 @@
                     .detail = "The request was not understood. Check method, path and size.",
                 };
                 m_metrics.countRefusal(problem.reason);
-                response.set_content(problem.toJson().dump(), "application/problem+json");
+                response.set_content(toJsonText(problem.toJson()), "application/problem+json");
                 return httplib::Server::HandlerResponse::Handled;
             }));
     m_server.set_exception_handler([this](const httplib::Request &request,
@@ -164,8 +164,7 @@
             const char *contentType)
 {
     response.status = status;
-    response.set_content(json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
-                         contentType);
+    response.set_content(toJsonText(json), contentType);
 }
 
 } // namespace
--- a/Libraries/LibUpstream/HttpEngine.cpp
+++ b/Libraries/LibUpstream/HttpEngine.cpp
@@ -28,7 +28,7 @@
 {
     stream({ .method = "POST",
              .path = "/generate",
-             .body = request.toJson().dump(),
+             .body = toJsonText(request.toJson()),
              .timeout = m_streamSilence },
            receiver);
 }
@@ -51,7 +51,7 @@
 {
     const nlohmann::json json = fetch({ .method = "POST",
                                         .path = "/segments",
-                                        .body = request.toJson().dump(),
+                                        .body = toJsonText(request.toJson()),
                                         .timeout = timeout });
     return requireString(json, "handle");
 }
@@ -59,8 +59,8 @@
 std::string HttpEngine::exportStream(const std::string &id)
 {
     const nlohmann::json body { { "id", id } };
-    return requireString(fetch({ .method = "POST", .path = "/kv/export", .body = body.dump() }),
-                         "handle");
+    return requireString(
+            fetch({ .method = "POST", .path = "/kv/export", .body = toJsonText(body) }), "handle");
 }
 
 void HttpEngine::releaseHandle(const std::string &handle)
@@ -87,7 +87,7 @@
 {
     const HttpRequest request { .method = "POST",
                                 .path = "/orders",
-                                .body = order.toJson().dump() };
+                                .body = toJsonText(order.toJson()) };
     const HttpResponse response = m_client.send(request);
     if (response.status == 409)
         return false;
--- a/Services/Agent/AttemptService.cpp
+++ b/Services/Agent/AttemptService.cpp
@@ -1,5 +1,6 @@
 #include "Services/Agent/AttemptService.h"
 
+#include "lavenderpick/Base/Json.h"
 #include "lavenderpick/Base/Log.h"
 #include "lavenderpick/Base/Problem.h"
 #include "lavenderpick/Http/ServerSentEvents.h"
@@ -264,7 +265,7 @@
                     return write(sink, serverSentEventHeartbeat);
                 std::string bytes;
                 for (const AttemptEvent &event : events) {
-                    bytes += formatServerSentEvent(event.toJson().dump());
+                    bytes += formatServerSentEvent(toJsonText(event.toJson()));
                     from = event.offset + 1;
                 }
                 if (!write(sink, bytes))
--- a/Services/Entry/CompletionFormat.cpp
+++ b/Services/Entry/CompletionFormat.cpp
@@ -1,5 +1,6 @@
 #include "Services/Entry/CompletionFormat.h"
 
+#include "lavenderpick/Base/Json.h"
 #include "lavenderpick/Http/ServerSentEvents.h"
 
 #include <nlohmann/json.hpp>
@@ -11,8 +12,7 @@
 // Text that is not valid UTF-8 must not end a stream with an exception.
 std::string eventOf(const nlohmann::json &json)
 {
-    return formatServerSentEvent(
-            json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    return formatServerSentEvent(toJsonText(json));
 }
 
 } // namespace
--- a/Services/Entry/CompletionRelay.cpp
+++ b/Services/Entry/CompletionRelay.cpp
@@ -305,8 +305,7 @@
     };
     return { .method = "POST",
              .path = "/internal/attempts",
-             .body = message.toJson().dump(-1, ' ', false,
-                                           nlohmann::json::error_handler_t::replace),
+             .body = toJsonText(message.toJson()),
              .timeout = waitLimit(run) };
 }
 
--- a/Services/Entry/JobRunner.cpp
+++ b/Services/Entry/JobRunner.cpp
@@ -3,6 +3,7 @@
 #include "Services/Entry/CompletionFormat.h"
 #include "Services/Entry/JobProgress.h"
 #include "lavenderpick/Base/Error.h"
+#include "lavenderpick/Base/Json.h"
 #include "lavenderpick/Base/Log.h"
 
 #include <algorithm>
@@ -317,8 +318,7 @@
     } else {
         const CompletionFormat format(job.record.id, job.record.request.value("model", ""),
                                       m_context.clock.wallSeconds());
-        const std::string result =
-                format.body(outcome).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        const std::string result = toJsonText(format.body(outcome));
         // Repeated here, so that a store that is down does not make the completion run again.
         while (state != WriteState::Applied && state != WriteState::Conflict && !m_stopping) {
             try {
--- a/Services/Entry/LongPromptRunner.cpp
+++ b/Services/Entry/LongPromptRunner.cpp
@@ -120,7 +120,7 @@
         const HttpResponse response = m_peers.send(plan.member().address,
                                                    { .method = "POST",
                                                      .path = "/internal/segments",
-                                                     .body = message.toJson().dump(),
+                                                     .body = toJsonText(message.toJson()),
                                                      .timeout = prefillLimit(order, plan) });
         if (response.status == 200) {
             plan.onPrefilled(requireString(parseJson(response.body, "segment"), "handle"));
--- a/Services/Entry/ReservationKeeper.cpp
+++ b/Services/Entry/ReservationKeeper.cpp
@@ -1,6 +1,7 @@
 #include "Services/Entry/ReservationKeeper.h"
 
 #include "lavenderpick/Base/Error.h"
+#include "lavenderpick/Base/Json.h"
 #include "lavenderpick/Base/Log.h"
 #include "lavenderpick/Protocol/AttemptMessages.h"
 
@@ -60,7 +61,7 @@
         const HttpResponse response = m_peers.send(held.address,
                                                    { .method = "POST",
                                                      .path = "/internal/reservations",
-                                                     .body = message.toJson().dump(),
+                                                     .body = toJsonText(message.toJson()),
                                                      .timeout = timeout });
         return response.status == 200;
     } catch (const Error &error) {
--- a/Services/Entry/ServiceCalls.cpp
+++ b/Services/Entry/ServiceCalls.cpp
@@ -169,7 +169,7 @@
                 m_peers.send(target.address,
                              { .method = "POST",
                                .path = "/internal/calls",
-                               .body = request.toJson().dump(),
+                               .body = toJsonText(request.toJson()),
                                .timeout = Milliseconds(request.deadlineMilliseconds) });
         if (response.status == okStatus) {
             m_directory.recordServiceResult(target.upstream(), false);
--- a/Services/Gateway/PeerExchange.cpp
+++ b/Services/Gateway/PeerExchange.cpp
@@ -607,7 +607,7 @@
 {
     if (endpoints.empty())
         return;
-    const std::string bytes = datagram.dump();
+    const std::string bytes = toJsonText(datagram);
     for (const Endpoint &endpoint : endpoints) {
         asio::error_code error;
         m_socket.send_to(asio::buffer(bytes), endpoint, 0, error);
--- a/Services/Gateway/ProblemResponse.cpp
+++ b/Services/Gateway/ProblemResponse.cpp
@@ -1,5 +1,7 @@
 #include "Services/Gateway/ProblemResponse.h"
 
+#include "lavenderpick/Base/Json.h"
+
 #include <array>
 #include <cstdio>
 #include <nlohmann/json.hpp>
@@ -25,7 +27,7 @@
                                 { "message", message },
                                 { "ran", toString(ran) },
                                 { "request_id", requestId } };
-    const std::string text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::string text = toJsonText(body);
     std::string response =
             "HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonPhrase(status)) + "\r\n";
     if (!requestId.empty())
--- a/Tests/LibBase/TestJson.cpp
+++ b/Tests/LibBase/TestJson.cpp
@@ -27,3 +27,10 @@
     BOOST_CHECK_THROW(requireInteger(json, "n"), Error);
     BOOST_CHECK_THROW(requireInteger(json, "f"), Error);
 }
+
+BOOST_AUTO_TEST_CASE(text_that_is_not_utf8_is_replaced)
+{
+    const nlohmann::json json { { "id", "a\xff" }, { "n", 1 } };
+    BOOST_CHECK(nlohmann::json::accept(toJsonText(json)));
+    BOOST_CHECK_EQUAL(toJsonText({ { "id", "text" } }), "{\"id\":\"text\"}");
+}
--- a/Tests/PlatformAdapter/TestRecordDecoder.cpp
+++ b/Tests/PlatformAdapter/TestRecordDecoder.cpp
@@ -3,6 +3,7 @@
 #include "platform/RecordDecoder.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace Lavenderpick;
 
@@ -218,4 +219,15 @@
                       "10.2.64.3:8080/t81,10.2.64.5:8080");
 }
 
+// Ids of callers are any bytes; those that are no UTF-8 ended the process.
+BOOST_AUTO_TEST_CASE(ordersForIdsThatAreNoTextAreValid)
+{
+    const Platform::PlatformDialect dialect;
+    const EngineCall reserve = dialect.reserveMemory("r\xff\xfe-1", 10, Seconds(1));
+    const EngineCall release = dialect.releaseMemory("r\xff\xfe-1");
+    BOOST_CHECK(nlohmann::json::accept(reserve.body));
+    BOOST_CHECK_EQUAL(nlohmann::json::parse(reserve.body).at("id").get<std::string>(),
+                      nlohmann::json::parse(release.body).at("id").get<std::string>());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Processes/GatewayTest.py
+++ b/Tests/Processes/GatewayTest.py
@@ -225,6 +225,22 @@
         wait_until(lambda: any(line["message"] == "settings reloaded" for line in gateway.lines()), 2, "not reloaded")
         self.assertEqual(gateway.send("/lookup/").status, 200)
 
+    def test_ids_and_prompt_parts_that_are_no_text_end_no_process(self):
+        gateway = self.start()
+        self.start("gateway-2", host="127.0.0.2", peer_port=gateway.peer_port, seeds=["127.0.0.1:1"])
+        for engine in self.engines:
+            engine.extra_headers = {"Content-Length": "99"}  # Breaks each stream off, like a crash.
+        for number in range(6):
+            with socket.create_connection(gateway.callers.split(":"), timeout=10) as connection:
+                connection.sendall(b"GET /stream/ HTTP/1.1\r\nHost: h\r\nApi-Key: key-1\r\nX-Attempt-Id: \xff\xfe%d\r\n"
+                                   b"X-Prompt-Prefix: \xff\xfe:800,own:1\r\nX-Token-Counts: 30000,50\r\n"
+                                   b"X-Deadline-Ms: 2000\r\n\r\n" % number)
+                connection.recv(1000)
+        time.sleep(1)
+        for running in self.gateways:
+            self.assertIsNone(running.process.poll())
+            self.assertEqual(running.send("/lookup/").status, 200)
+
     def test_metrics_count_refusals(self):
         gateway = self.start()
         gateway.send("/nowhere/")
--- a/include/lavenderpick/Base/Json.h
+++ b/include/lavenderpick/Base/Json.h
@@ -13,6 +13,9 @@
 /// Parses CBOR bytes of a message; throws like `parseJson`.
 nlohmann::json parseCbor(std::string_view bytes, std::string_view what);
 
+/// The value as text. Bytes of strings that are not UTF-8, such as callers may send, are replaced.
+std::string toJsonText(const nlohmann::json &json);
+
 /// Bytes of the value as CBOR.
 std::string toCbor(const nlohmann::json &json);
 
