EngineCalls: Bound orders to engines in time after their request too

What happened: orders that an engine never answers kept a connection each once their request had ended, since only the request checked their time limit. And MemoryReserver went on in a loop over its members after a callback that may release it (by reading).

Measured: ordersThatAnEngineNeverAnswersEndAfterTheirRequest passes; it uses the new interface and was not run before. Not run under the address sanitizer.

--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -118,6 +118,7 @@
     m_state.quarantine.update(now);
     m_state.rateLimits.expire(now);
     m_state.pool.trimIdleConnections(now);
+    m_state.engineCalls.checkTimeouts(now);
     const std::vector<std::shared_ptr<InboundConnection>> connections(m_connections.begin(),
                                                                       m_connections.end());
     for (const auto &connection : connections)
--- a/Services/Gateway/GatewayState.cpp
+++ b/Services/Gateway/GatewayState.cpp
@@ -39,6 +39,7 @@
     , stop(settings.stopGrace)
     , pool(contextToUse, clockToRead, ledger)
     , waiting(contextToUse)
+    , engineCalls(*this)
     , startedAt(clockToRead.now())
 { }
 
--- a/Services/Gateway/GatewayState.h
+++ b/Services/Gateway/GatewayState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Services/Gateway/EngineCalls.h"
 #include "Services/Gateway/GatewaySettings.h"
 #include "Services/Gateway/UpstreamConnectionPool.h"
 #include "Services/Gateway/WaitingRequests.h"
@@ -64,6 +65,7 @@
     SlowestRequests slowestRequests;
     UpstreamConnectionPool pool;
     WaitingRequests waiting;
+    EngineCalls engineCalls;
     Metrics metrics;
     PlacementObserver *placementObserver { nullptr };
 
--- a/Services/Gateway/MemoryReserver.h
+++ b/Services/Gateway/MemoryReserver.h
@@ -33,15 +33,13 @@
     /// The id of the reservation at the upstream; empty if there is none.
     std::string reservationId(const std::string &upstream) const;
 
-    /// Renews due reservations and fails control calls that were not answered in time.
+    /// Renews due reservations.
     void checkTimeouts(TimePoint now);
 
     /// Releases all reservations, including those whose call was never answered.
     void release();
 
 private:
-    class ControlCall;
-
     struct ActiveReservation
     {
         std::string address;
@@ -49,14 +47,11 @@
         std::string id;
     };
 
-    void sendControlCall(const std::string &upstream, const ActiveReservation &activeReservation,
-                         const EngineCall &call, std::function<void(bool accepted)> done);
     void recordAnswer(bool accepted);
 
     GatewayState &m_state;
     std::string m_requestId;
     std::map<std::string, ActiveReservation> m_reservations; ///< By upstream.
-    std::vector<std::shared_ptr<ControlCall>> m_controlCalls;
     FinishedCallback m_finished;
     std::size_t m_pendingAnswers { 0 };
     bool m_allAccepted { true };
--- a/Tests/ServiceGateway/GatewayFixture.cpp
+++ b/Tests/ServiceGateway/GatewayFixture.cpp
@@ -231,6 +231,7 @@
     const TimePoint now = clock.now();
     for (const auto &connection : m_inboundConnections)
         connection->checkTimeouts(now);
+    state.engineCalls.checkTimeouts(now);
     state.quarantine.update(now);
     context.restart();
     context.run_for(std::chrono::milliseconds(5));
--- a/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
+++ b/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
@@ -310,4 +310,27 @@
         BOOST_CHECK_EQUAL(sendAndWait("/once/")->status, 200);
 }
 
+// Orders that were open when their request ended had no time limit, and kept a connection each.
+BOOST_AUTO_TEST_CASE(ordersThatAnEngineNeverAnswersEndAfterTheirRequest)
+{
+    int releases = 0;
+    for (const char *id : { "u1", "u2", "u3" })
+        addUpstream(
+                id,
+                [&](const ReceivedRequest &request, const Peer &peer) {
+                    releases += request.head.target.starts_with("/release/") ? 1 : 0;
+                    if (request.head.target.starts_with("/reserve/"))
+                        peer->write(makeResponse("", ""));
+                    else if (request.head.target == "/stream/")
+                        peer->write(makeResponse("r1", "id: 1\n\n", 200, "Proof: p\r\n"));
+                },
+                "engines");
+    const auto response = sendAndWait("/stream/", "r1", "Tokens: 15000,10\r\n", "x");
+    BOOST_CHECK_EQUAL(response->status, 200);
+    BOOST_REQUIRE(runUntil([&] { return releases > 0; }));
+    BOOST_CHECK_GT(state.engineCalls.size(), 0);
+    advance(Milliseconds(500));
+    BOOST_CHECK_EQUAL(state.engineCalls.size(), 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
