--- a/Tests/Processes/gateway_process.py
+++ b/Tests/Processes/gateway_process.py
@@ -33,10 +33,20 @@
                                   "peers": self.peers, "metrics": self.metrics},
                        "platform": {"address": store.address}, "seeds": list(seeds), "stop_grace": "8 s",
                        "retries": {"ratio": 0.2, "slack": 100, "window": "10 s"}}, file)
-        self.log = open(self.log_path, "w")
-        self.process = subprocess.Popen([program, "gateway", "--settings", self.settings],
+        self.program = program
+        self.run()
+
+    def run(self):
+        self.log = open(self.log_path, "a")
+        self.process = subprocess.Popen([self.program, "gateway", "--settings", self.settings],
                                         stdout=self.log, stderr=self.log)
 
+    def started_again(self):
+        """Another process with the same settings, after this one has ended."""
+        self.log.close()
+        self.run()
+        return self
+
     def is_ready(self):
         try:
             return call(self.readiness, "GET", "/readyz", timeout=1).status == 200
