--- a/Tests/Processes/GatewayTest.py
+++ b/Tests/Processes/GatewayTest.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -196,7 +197,7 @@
         gateway = self.start()
         for runner in self.runners:
             runner.delay = 2.5
-        self.assertEqual(gateway.send("/once/", "before", {"n": 0}).status, 200)
+        self.assertEqual(gateway.send("/once/", "before", {"n": 0}).status, 200, gateway.lines())
         gateway.process.send_signal(signal.SIGTERM)
 
         def outcome(number):
@@ -241,6 +242,20 @@
             self.assertIsNone(running.process.poll())
             self.assertEqual(running.send("/lookup/").status, 200)
 
+    def test_a_hangup_during_the_start_ends_no_process(self):
+        # Found by soak seed 21: a gateway that had just been restarted got a SIGHUP.
+        settings = os.path.join(self.folder.name, "pipe.yaml")
+        os.mkfifo(settings)  # The process waits for its settings until someone writes them.
+        process = subprocess.Popen([PROGRAM, "gateway", "--settings", settings])
+        try:
+            time.sleep(1)
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.2)
+            self.assertIsNone(process.poll())
+        finally:
+            process.kill()
+            process.wait()
+
     def test_metrics_count_refusals(self):
         gateway = self.start()
         gateway.send("/nowhere/")
--- a/Tests/Processes/StoreOutageTest.py
+++ b/Tests/Processes/StoreOutageTest.py
@@ -100,7 +100,15 @@
         time.sleep(0.4)  # Some of the others, which now read about once a second, hear of it from the reader.
         self.doors[reader.name].refusing = False
         time.sleep(max(0.0, removed_at + DRAIN_LIMIT_S - time.monotonic()))
-        self.assertEqual(self.runs_through(others, self.runners[0], "late"), 0)
+        self.assertEqual(self.runs_through(others, self.runners[0], "late"), 0, self.story())
+
+    def story(self):
+        """What the gateways logged of the store, their roles and the upstreams, for a failure."""
+        parts = ("platform", "peers", "gateway")
+        lines = sorted((line["time"], line["process"], line["message"], str(line.get("reason", line.get("role", ""))),
+                        str(line.get("delayed", "")))
+                       for gateway in self.gateways for line in gateway.lines() if line.get("component") in parts)
+        return "\n" + "\n".join(" ".join(map(str, line)) for line in lines)
 
     def play_silent_connections(self, gateways):
         self.start(gateways)
@@ -111,7 +119,7 @@
         time.sleep(0.8)
         self.store.remove("servers", "c-0")
         time.sleep(silent_at + CONTACT_LIMIT_S - time.monotonic())
-        self.assertEqual(self.runs_through(self.gateways, self.runners[0], "late"), 0)
+        self.assertEqual(self.runs_through(self.gateways, self.runners[0], "late"), 0, self.story())
 
     def test_silent_connections_to_the_store_delay_no_removal_at_one_gateway(self):
         # The call that timed out counted as an outage of the store, though new connections worked all the time.
--- a/Tests/Processes/gateway_process.py
+++ b/Tests/Processes/gateway_process.py
@@ -8,11 +8,15 @@
 from local_cluster import PORTS, call, is_free
 
 
-def free_port():
-    """A port below the range that the kernel gives to outgoing connections."""
+# Tests that run beside each other use the same ones.
+HOSTS = [f"127.0.0.{number}" for number in range(1, 10)]
+
+
+def free_port(hosts=tuple(HOSTS)):
+    """A port that is free at all hosts, below the range that the kernel gives to outgoing connections."""
     while True:
         port = random.choice(PORTS)
-        if is_free(port):
+        if all(is_free(port, host) for host in hosts):
             return port
 
 
@@ -22,9 +26,9 @@
     def __init__(self, program, folder, name, store, seeds=(), host="127.0.0.1", peer_port=None, metrics=None):
         self.name = name
         self.peer_port = peer_port or free_port()
-        self.callers, self.readiness = (f"{host}:{free_port()}" for _ in range(2))
+        self.callers, self.readiness = (f"{host}:{free_port([host])}" for _ in range(2))
         self.peers = f"{host}:{self.peer_port}"
-        self.metrics = metrics or f"{host}:{free_port()}"
+        self.metrics = metrics or f"{host}:{free_port([host])}"
         self.settings = os.path.join(folder, name + ".yaml")
         self.log_path = os.path.join(folder, name + ".log")
         with open(self.settings, "w") as file:
--- a/Tests/Processes/local_cluster.py
+++ b/Tests/Processes/local_cluster.py
@@ -81,11 +81,11 @@
     return letters + " "
 
 
-def is_free(port):
+def is_free(port, host="127.0.0.1"):
     try:
         with socket.socket(type=socket.SOCK_DGRAM) as datagrams, socket.socket() as streams:
-            datagrams.bind(("127.0.0.1", port))
-            streams.bind(("127.0.0.1", port))
+            datagrams.bind((host, port))
+            streams.bind((host, port))
         return True
     except OSError:
         return False
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -99,8 +99,8 @@
         elif url.path == "/rows-get":
             with self.condition:
                 records = [row for (table, _), row in sorted(self.rows.items()) if table == query["table"]]
-                handler.respond_json(200, {"records": records, "hasMore": False,
-                                           "revision": self.revision, "nowMs": 0})
+                answer = {"records": records, "hasMore": False, "revision": self.revision, "nowMs": 0}
+            handler.respond_json(200, answer)  # It may block on a silent connection, which must not hold the lock.
         else:
             self.poll(handler, query)
 
--- a/Tests/Processes/soak.py
+++ b/Tests/Processes/soak.py
@@ -120,6 +120,16 @@
             return 0, b"", False
 
 
+def handles_hang_up(process):
+    """Whether the process has begun to handle or ignore SIGHUP. Before, the signal ends any process."""
+    try:
+        with open(f"/proc/{process.pid}/status") as file:
+            masks = [int(line.split()[1], 16) for line in file if line.startswith(("SigIgn", "SigCgt"))]
+    except OSError:
+        return False
+    return any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
+
 class Soak:
     def __init__(self, program, seed, seconds, gateways=None):
         self.program = program
@@ -165,6 +175,7 @@
         if code not in expected:
             self.ended_by_themselves.append((old.name, code))
         self.gateways[index] = old.started_again()
+        wait_until(lambda: handles_hang_up(old.process) or old.process.poll() is not None, 20, "no signal handler")
 
     def freeze(self, chooser):
         process = chooser.choice(self.gateways).process
