Exchange: Let a stopping gateway judge generations by their prediction alone

Cause: the longest recent stream of a route is a long prompt's, and rejected short ones too in the last seconds of each stop. Waiting and repeats counted as part of the duration as well.

Change: only plain calls, whose size says nothing, go by the longest recent attempt.

Measured: test_a_stop_takes_no_call_that_it_cannot_finish passes still.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -298,8 +298,7 @@
         return;
     // A request that was accepted and attempted before continues, if need be at another upstream.
     if (m_history.attempts() == 0
-        && !m_state.stop.mayAcceptRequest(now, expectedDuration(),
-                                          m_state.slowestRequests.longest(m_route->name, now))) {
+        && !m_state.stop.mayAcceptRequest(now, expectedDuration(), longestDuration())) {
         refuse(503, RefusalReason::NotReady,
                "The gateway is stopping and can't finish the request.", restartRetryAfter);
         return;
@@ -326,9 +325,16 @@
     });
 }
 
+Duration Exchange::longestDuration() const
+{
+    // The size of a generation says more than the longest other one.
+    return isPredicted() ? Duration {}
+                         : m_state.slowestRequests.longest(m_route->name, m_state.clock.now());
+}
+
 Duration Exchange::expectedDuration() const
 {
-    if (m_decision.predictedEndMs > 0)
+    if (isPredicted())
         return fromMilliseconds(m_decision.predictedEndMs);
     return silenceTimeoutObjectives * m_route->objective;
 }
@@ -845,8 +851,8 @@
     if (m_route == nullptr)
         return;
     const TimePoint now = m_state.clock.now();
-    if (m_attemptStartedAt != TimePoint {})
-        m_state.slowestRequests.record(m_route->name, now - m_arrivedAt, now);
+    if (m_attemptStartedAt != TimePoint {} && !isPredicted())
+        m_state.slowestRequests.record(m_route->name, now - m_attemptStartedAt, now);
     const std::string kind = "kind=\"" + std::string(toString(m_route->kind)) + "\"";
     const bool succeeded = status >= 200 && status < 300;
     m_state.metrics.observeLatency(
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -48,6 +48,7 @@
     std::string chooseService() const;
     void retryPlacement() override;
     Duration expectedDuration() const;
+    Duration longestDuration() const;
     bool waitForBetterPlacement();
     bool waitForRateLimit();
     bool waitForPauses();
@@ -107,6 +108,7 @@
 
     Duration remaining() const { return m_deadline - m_state.clock.now(); }
     bool closesConnection() const { return !m_head.keepAlive || m_state.stop.isStopping(); }
+    bool isPredicted() const { return m_decision.predictedEndMs > 0; }
     bool isStream() const { return m_route != nullptr && m_route->kind == RouteKind::Streaming; }
 
     GatewayState &m_state;
--- a/include/lavenderpick/Forward/SlowestRequests.h
+++ b/include/lavenderpick/Forward/SlowestRequests.h
@@ -8,7 +8,7 @@
 
 namespace Lavenderpick {
 
-/// The longest durations of recent requests, by route. Not safe for concurrent use.
+/// The longest durations of recent attempts, by route. Not safe for concurrent use.
 class SlowestRequests
 {
 public:
@@ -17,7 +17,7 @@
 
     void record(const std::string &route, Duration duration, TimePoint now);
 
-    /// Zero if no request of the route ended recently.
+    /// Zero if no attempt of the route ended recently.
     Duration longest(const std::string &route, TimePoint now) const;
 
 private:
