Gateway: Forward "not run" statuses only with a proof

Cause: Exchange decided in several places what a response means, and only the way to a retry asked for a proof; the way to the caller forwarded each status from 300 up.

Change: ResponseAssessment decides once, for requests of all kinds, from the head of a response. A 408, 429 or 503 without a proof is unusable: the request may have run, and is retried if it may run twice, or answered with 502.

Evidence: RetryTests/refusalWithoutAProofIsNotForwarded failed before (408 where 502 is expected) and passes.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t maximumBufferedResponse = 65'536;
 // A larger body may not fit in a caller's receive window.
 constexpr std::size_t smallBodyBytes = 16'384;
+constexpr int lowestServerErrorStatus = 500;
 constexpr Duration minimumTimeToSend { Milliseconds(5) };
 constexpr Duration defaultRetryAfter { Milliseconds(300) };
 // Callers return over up to this time after a pause of their upstreams.
@@ -618,22 +619,20 @@
 
 void Exchange::headArrived(const ResponseHead &head)
 {
+    const auto self = shared_from_this();
     m_attemptHead = head;
+    m_assessment = ResponseAssessment::of(
+            head, { .connectionReused = m_connection->isReused() }, m_state.dialect);
     // A resumed stream keeps the head of its first upstream.
     if (!m_writer.hasBegun())
         m_responseHead = head;
-    const HeaderNames &names = m_state.dialect.names();
-    const bool hasRequestId = head.headers.find(names.requestId) != nullptr;
-    const auto self = shared_from_this();
-    if (!hasRequestId && !m_requestId.empty() && m_connection->isReused()) {
-        // It may be a late copy of an earlier response, so it proves nothing about this request.
-        failAttempt(AttemptOutcome::Failed, "response_without_id");
-        return;
+    if (m_assessment.verdict != ResponseVerdict::Unattributed) {
+        recordRateLimit(head);
+        m_state.recordNotices(m_attemptUpstream, head);
     }
-    recordRateLimit(head);
-    m_state.recordNotices(m_attemptUpstream, head);
-    if (head.isSuccess() && (!hasRequestId || head.headers.find(names.signature) == nullptr))
-        failAttempt(AttemptOutcome::Failed, "response_without_signature");
+    if (m_assessment.verdict == ResponseVerdict::Unattributed
+        || m_assessment.verdict == ResponseVerdict::Unusable)
+        failUnforwarded();
 }
 
 void Exchange::recordRateLimit(const ResponseHead &head)
@@ -652,7 +651,7 @@
 
 void Exchange::bodyArrived(std::string_view bytes)
 {
-    if (!m_attemptHead.isSuccess()) {
+    if (m_assessment.verdict != ResponseVerdict::Success) {
         m_buffer.append(bytes);
         if (m_buffer.size() > maximumBufferedResponse)
             failOversizedFailure();
@@ -678,10 +677,10 @@
 {
     // A shortened body must not reach the caller as the upstream's.
     const auto self = shared_from_this();
-    const bool provesNotRun = m_state.dialect.provesNotRun(m_attemptHead);
-    m_state.outliers.recordFailure(m_decision.upstream, m_state.clock.now());
-    failAttempt(provesNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Failed,
-                "oversized_failure");
+    m_assessment.cause = "oversized_failure";
+    if (m_assessment.verdict == ResponseVerdict::NotRun)
+        m_state.outliers.recordFailure(m_decision.upstream, m_state.clock.now());
+    failUnforwarded();
 }
 
 void Exchange::forwardEvents(std::string_view bytes)
@@ -780,7 +779,8 @@
 void Exchange::responseEnded()
 {
     const auto self = shared_from_this();
-    if (m_attemptHead.isSuccess() && isStream() && m_events.partialBytes() > 0) {
+    const bool isSuccess = m_assessment.verdict == ResponseVerdict::Success;
+    if (isSuccess && isStream() && m_events.partialBytes() > 0) {
         failBrokenStream();
         return;
     }
@@ -788,12 +788,12 @@
     m_connection.reset();
     endAttempt();
     m_state.keepConnection(m_decision.upstream, std::move(connection));
-    if (m_attemptHead.isSuccess()) {
+    if (isSuccess) {
         m_state.outliers.recordSuccess(m_decision.upstream, m_state.clock.now());
         finishForwarding();
         return;
     }
-    handleUpstreamRefusal();
+    handleUpstreamFailure();
 }
 
 // The framing of the response is complete, but its last event is not.
@@ -815,24 +815,40 @@
     finish(m_responseHead.status);
 }
 
-void Exchange::handleUpstreamRefusal()
+void Exchange::handleUpstreamFailure()
 {
-    if (m_state.dialect.isMisdirected(m_attemptHead)) {
-        m_state.upstreams.recordMisdirection(m_decision.upstream, m_state.clock.now());
-        failAttempt(AttemptOutcome::Misdirected, "other_upstream");
-        return;
-    }
-    if (m_state.dialect.provesNotRun(m_attemptHead)) {
-        failAttempt(AttemptOutcome::NotRun, "status_" + std::to_string(m_attemptHead.status));
+    // If no retry is allowed, the failure is forwarded unchanged.
+    const bool isForwarded = m_assessment.verdict == ResponseVerdict::Failure
+            && !m_writer.hasBegun()
+            && (m_attemptHead.status < lowestServerErrorStatus || !mayRetryOpenAttempt());
+    if (!isForwarded) {
+        failUnforwarded();
         return;
     }
     m_state.outliers.recordFailure(m_decision.upstream, m_state.clock.now());
-    // If no retry is allowed, the failure is forwarded unchanged.
-    if (m_writer.hasBegun() || (m_attemptHead.status >= 500 && mayRetryOpenAttempt())) {
-        failAttempt(AttemptOutcome::Failed, "status_" + std::to_string(m_attemptHead.status));
+    forwardBufferedFailure();
+}
+
+// Ends the attempt after a response that the caller does not get.
+void Exchange::failUnforwarded()
+{
+    const TimePoint now = m_state.clock.now();
+    switch (m_assessment.verdict) {
+    case ResponseVerdict::Misdirected:
+        m_state.upstreams.recordMisdirection(m_decision.upstream, now);
+        failAttempt(AttemptOutcome::Misdirected, m_assessment.cause);
+        return;
+    case ResponseVerdict::NotRun:
+        failAttempt(AttemptOutcome::NotRun, m_assessment.cause);
+        return;
+    case ResponseVerdict::Success:
+    case ResponseVerdict::Failure:
+    case ResponseVerdict::Unusable:
+    case ResponseVerdict::Unattributed:
+        m_state.outliers.recordFailure(m_decision.upstream, now);
+        failAttempt(AttemptOutcome::Failed, m_assessment.cause);
         return;
     }
-    forwardBufferedFailure();
 }
 
 bool Exchange::mayRetryOpenAttempt() const
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -6,6 +6,7 @@
 #include "Services/Gateway/ResponseWriter.h"
 #include "lavenderpick/Forward/AttemptHistory.h"
 #include "lavenderpick/Forward/EventSplitter.h"
+#include "lavenderpick/Forward/ResponseAssessment.h"
 
 #include <memory>
 #include <optional>
@@ -16,9 +17,10 @@
 /// One request of a caller: finds its route, chooses an upstream, sends it, retries it if that is
 /// allowed, and forwards the response.
 ///
-/// A non-idempotent request is sent again only after proof that it did not run. A response with
-/// status 503 or 408 is sent only if every upstream that got the request proved that it did not
-/// run.
+/// `ResponseAssessment` decides what a response of an upstream means. A non-idempotent request is
+/// sent again only after proof that it did not run. A response with a status for which
+/// `promisesNotRun` holds is sent only if every upstream that got the request proved that it did
+/// not run.
 class Exchange : public std::enable_shared_from_this<Exchange>,
                  private ResponseListener,
                  private WaitingRequest
@@ -90,6 +92,7 @@
     void requestFailed(ConnectionFailure failure) override;
 
     void failOversizedFailure();
+    void failUnforwarded();
     void forwardEvents(std::string_view bytes);
     void recordProgress(std::size_t events);
     void recordPrefilledPrompt();
@@ -98,7 +101,7 @@
     void writeBody(std::string_view bytes);
     void failBrokenStream();
     void finishForwarding();
-    void handleUpstreamRefusal();
+    void handleUpstreamFailure();
     bool mayRetryOpenAttempt() const;
     void failAttempt(AttemptOutcome outcome, const std::string &cause);
     void retry(AttemptOutcome outcome, const std::string &cause);
@@ -152,8 +155,9 @@
     UpstreamRecord m_attemptUpstream; ///< As listed when the attempt was sent.
     AttemptHistory m_history;
 
-    ResponseHead m_responseHead; ///< Head of the response to the caller.
-    ResponseHead m_attemptHead;  ///< Head of the open attempt's response.
+    ResponseHead m_responseHead;     ///< Head of the response to the caller.
+    ResponseHead m_attemptHead;      ///< Head of the open attempt's response.
+    ResponseAssessment m_assessment; ///< Of `m_attemptHead`.
     ResponseWriter m_writer;
     std::size_t m_bodyBytes { 0 }; ///< Written to the caller.
     bool m_firstEventSeen { false };
--- a/Tests/ServiceGateway/TestExchange.cpp
+++ b/Tests/ServiceGateway/TestExchange.cpp
@@ -177,6 +177,23 @@
     BOOST_CHECK_EQUAL(view->body, "why");
 }
 
+// Guards against a status that promises "not run" for a request that its upstream ran and failed
+// with its own 408, 429 or 503; the caller would send it again.
+BOOST_AUTO_TEST_CASE(refusalWithoutAProofIsNotForwarded)
+{
+    for (const int status : { 408, 429, 503 }) {
+        for (const char *path : { "/once/", "/safe/" }) {
+            state.upstreams.replaceAll({}, clock.now());
+            addUpstream("u-" + std::to_string(status), respondWith("ran, then failed", status));
+            const auto view = sendAndWait(path, "r1", "", "x");
+            BOOST_CHECK_EQUAL(view->status, 502);
+            BOOST_CHECK_EQUAL(view->header("Proof"), "");
+            BOOST_CHECK_EQUAL(view->header("Retry-After"), "");
+            BOOST_CHECK(view->body.find("\"ran\":\"unknown\"") != std::string::npos);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(lastFailureOfASafeRequestIsForwarded)
 {
     const auto &first = addUpstream("u1", respondWith("why", 500));
