LibForward, LibHttp: Reject responses without a usable status

Callers saw: an upstream's answer with a status from 600 to 999; in the entry role also 000 to 199 as the service's own. The gateway took 000 to 099 for interim responses.

Cause: both parsers took any three digits for a status.

Change: statuses outside 100 to 599, and 101, make a response malformed; LibHttp's client rejects each status that is not final.

Evidence: rejectsResponsesWithoutAUsableStatus (1,002 failed checks) and an_answer_without_a_final_status_is_a_failure failed before and pass.

--- a/Libraries/LibForward/HttpParser.cpp
+++ b/Libraries/LibForward/HttpParser.cpp
@@ -4,6 +4,20 @@
 
 namespace Lavenderpick {
 
+namespace {
+
+/// Whether a response may have this status: those of RFC 9110, but 101, since no request asks for
+/// another protocol.
+bool isUsableStatus(int status)
+{
+    constexpr int lowestStatus = 100;
+    constexpr int switchingProtocolsStatus = 101;
+    constexpr int highestStatus = 599;
+    return status >= lowestStatus && status <= highestStatus && status != switchingProtocolsStatus;
+}
+
+} // namespace
+
 struct HttpParser::Implementation
 {
     http_parser parser {};
@@ -11,6 +25,10 @@
 
 struct HttpParser::Callbacks
 {
+    // Results of the callback that ends a head.
+    static constexpr int endsWithHead = 1;
+    static constexpr int invalidHead = -1;
+
     static HttpParser &self(http_parser *parser)
     {
         return *static_cast<HttpParser *>(parser->data);
@@ -49,8 +67,9 @@
         HttpParser &owner = self(parser);
         if (owner.m_state == State::Body)
             return 0; // Trailers of a chunked body.
-        owner.finishHead();
-        return owner.hasNoBody() ? 1 : 0; // 1: the message ends with its head.
+        if (!owner.finishHead())
+            return invalidHead;
+        return owner.hasNoBody() ? endsWithHead : 0;
     }
 
     static int body(http_parser *parser, const char *bytes, std::size_t size)
@@ -124,10 +143,12 @@
     m_readingValue = false;
 }
 
-void HttpParser::finishHead()
+bool HttpParser::finishHead()
 {
     finishField();
     http_parser &parser = m_implementation->parser;
+    if (m_type == MessageType::Response && !isUsableStatus(static_cast<int>(parser.status_code)))
+        return false;
     const bool chunked = (parser.flags & F_CHUNKED) != 0;
     const bool hasLength = (parser.flags & F_CONTENTLENGTH) != 0;
     BodyFraming framing = BodyFraming::None;
@@ -154,6 +175,7 @@
     m_headBytes = computeHeadBytes();
     m_state = State::Body;
     m_listener.headParsed();
+    return true;
 }
 
 bool HttpParser::hasNoBody() const
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -12,6 +12,14 @@
 constexpr int connectTimeoutSeconds = 1;
 constexpr std::size_t maximumIdleConnections = 64;
 
+// A process in trouble may send a status line whose status is none.
+bool isFinalStatus(int status)
+{
+    constexpr int lowestFinalStatus = 200;
+    constexpr int highestStatus = 599;
+    return status >= lowestFinalStatus && status <= highestStatus;
+}
+
 bool sameHeaderName(const std::string &left, const std::string &right)
 {
     return left.size() == right.size()
@@ -137,6 +145,11 @@
     const httplib::Result result = client.send(message);
     if (cancelled)
         return HttpResponse { .status = status };
+    if (result && !isFinalStatus(result->status))
+        throw Error(ErrorKind::UpstreamFailed,
+                    m_address + " answered " + request.method + " " + request.path
+                            + " with the invalid status " + std::to_string(result->status),
+                    "The request may have run; look its outcome up.");
     if (result)
         return HttpResponse {
             .status = result->status,
--- a/Tests/LibForward/TestHttpParser.cpp
+++ b/Tests/LibForward/TestHttpParser.cpp
@@ -69,6 +69,20 @@
     BOOST_CHECK_EQUAL(requests.request().target, "/2");
 }
 
+// Guards against an answer with a status such as 000, which was taken for an interim response.
+BOOST_AUTO_TEST_CASE(rejectsResponsesWithoutAUsableStatus)
+{
+    for (int status = 0; status <= 999; ++status) {
+        responses.reset();
+        collector.heads = 0;
+        responses.feed("HTTP/1.1 " + std::to_string(1'000 + status).substr(1)
+                       + " X\r\nContent-Length: 1\r\n\r\n");
+        const bool isUsable = status >= 100 && status <= 599 && status != 101;
+        BOOST_CHECK_MESSAGE((responses.state() != HttpParser::State::Failed) == isUsable, status);
+        BOOST_CHECK_MESSAGE(collector.heads == (isUsable ? 1 : 0), status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(rejectsAmbiguousAndInvalidBodyLengths)
 {
     for (const char *head : { "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
--- a/Tests/LibHttp/TestHttpServer.cpp
+++ b/Tests/LibHttp/TestHttpServer.cpp
@@ -50,6 +50,29 @@
 
 } // namespace
 
+// Guards against an answer with a status such as 000, which a caller got as the service's own.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_final_status_is_a_failure)
+{
+    const SystemClock clock;
+    for (const char *status : { "000", "099", "101", "199", "600", "999" }) {
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+        std::thread service([&] {
+            asio::ip::tcp::socket socket = acceptor.accept();
+            std::string request;
+            asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+            asio::write(socket,
+                        asio::buffer("HTTP/1.1 " + std::string(status)
+                                     + " X\r\nContent-Length: 2\r\n\r\nno"));
+        });
+        HttpClient client("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()), clock);
+        BOOST_CHECK_EXCEPTION(
+                client.send({ .method = "GET", .path = "/" }), Error,
+                [](const Error &error) { return error.kind() == ErrorKind::UpstreamFailed; });
+        service.join();
+    }
+}
+
 // Guards against two processes that share one port unnoticed, so that each gets a part of the
 // other's requests.
 BOOST_AUTO_TEST_CASE(a_port_in_use_is_refused)
--- a/include/lavenderpick/Forward/HttpParser.h
+++ b/include/lavenderpick/Forward/HttpParser.h
@@ -21,7 +21,8 @@
 
 /// Parses a byte stream into HTTP/1.1 messages, either requests or responses.
 ///
-/// Rejects messages with both a length and chunks, with two lengths, or with an invalid chunk.
+/// Rejects messages with both a length and chunks, with two lengths, or with an invalid chunk, and
+/// responses with a status outside 100 to 599 or of 101.
 /// Parsing stops at the end of each message, so that the bytes after it are never parsed as part of
 /// it.
 class HttpParser
@@ -72,7 +73,7 @@
     friend struct Callbacks;
     struct Implementation;
 
-    void finishHead();
+    bool finishHead();
     void finishField();
     /// Whether the response ends with its head, whatever its fields announce.
     bool hasNoBody() const;
