ByteStream: Don't report an orderly end after a failed write

Callers saw, in another operator's system: part of a response without a length as the complete one, where the upstream reset the connection during a long upload.

Cause: the kernel reports a reset once. A write that got it only logged it, and the following read found a normal end, which completes such a response.

Change: a stream on which a write failed never ends orderly.

Ruled out: resets that a read learns of, which were reported correctly.

--- a/Services/Gateway/ByteStream.cpp
+++ b/Services/Gateway/ByteStream.cpp
@@ -106,7 +106,7 @@
     }
     if (error) {
         m_readPending = false;
-        handleEnd(error == asio::error::eof);
+        handleEnd(error == asio::error::eof && !m_writeFailed);
         return;
     }
     if (!m_closeAfterOutput && m_handler != nullptr)
@@ -138,7 +138,9 @@
     asio::error_code error;
     const std::size_t bytesWritten = m_socket.write_some(asio::buffer(bytes), error);
     if (error && error != asio::error::would_block) {
-        // The pending read reports the end of the stream, so `write` never calls the handler.
+        // The pending read reports the end of the stream, so `write` never calls the handler. The
+        // kernel reports a reset once: after a write that got it, a read finds a normal end.
+        m_writeFailed = true;
         log(LogLevel::Debug, "socket", "a write failed: " + error.message());
         return;
     }
--- a/Services/Gateway/ByteStream.h
+++ b/Services/Gateway/ByteStream.h
@@ -18,7 +18,8 @@
 
     virtual void bytesArrived(std::string_view bytes) = 0;
 
-    /// The peer closed its sending side (`orderly`), or the connection failed. Called once.
+    /// The peer closed its sending side (`orderly`), or the connection failed. Called once. A
+    /// connection on which a write failed never ends orderly.
     virtual void streamEnded(bool orderly) = 0;
 
     /// All buffered output was handed to the kernel. Not called when no output was buffered.
@@ -90,6 +91,7 @@
     bool m_paused { false };
     bool m_writePending { false };
     bool m_closeAfterOutput { false };
+    bool m_writeFailed { false };
     std::unique_ptr<asio::steady_timer> m_lingerTimer;
 };
 
