EngineCalls: Discard responses to other requests

Callers saw: a split prompt sent without its memory, after a late copy of a request's response counted as an engine's consent to reserve it.

Cause: orders share the connections of requests but took the first response.

Change: a response that names a request is discarded, and the next one awaited.

Evidence: copyOfARequestsResponseIsNoAnswerToAReservation failed before (200 where 503 is expected, and the request was sent) and passes.

--- a/Services/Gateway/EngineCalls.cpp
+++ b/Services/Gateway/EngineCalls.cpp
@@ -53,6 +53,19 @@
 
     bool isPending() const { return m_self != nullptr; }
 
+    // Connections are shared with requests, so a copy of a response to one of them may arrive late.
+    // Control calls have no id that an engine could echo.
+    bool isExpected(const ResponseHead &head) override
+    {
+        const std::string *id = head.headers.find(m_state.dialect.names().requestId);
+        if (id == nullptr || id->empty())
+            return true;
+        m_state.metrics.increment("lavenderpick_foreign_responses_total");
+        log(LogLevel::Warning, "reservation", "an engine sent the response of another request",
+            { { "upstream", m_upstream }, { "other_request_id", *id }, { "status", head.status } });
+        return false;
+    }
+
     void headArrived(const ResponseHead &head) override
     {
         m_accepted = head.isSuccess();
--- a/Tests/ServiceGateway/TestMemoryReserver.cpp
+++ b/Tests/ServiceGateway/TestMemoryReserver.cpp
@@ -152,6 +152,29 @@
     BOOST_CHECK_EQUAL(view->status, 503);
 }
 
+// Guards against a late copy of a request's response that counts as an engine's consent to reserve
+// memory, so that the prompt is sent without it.
+BOOST_AUTO_TEST_CASE(copyOfARequestsResponseIsNoAnswerToAReservation)
+{
+    int plainRequests = 0;
+    const auto script = [&plainRequests](const ReceivedRequest &request, const Peer &peer) {
+        if (request.head.target.starts_with("/reserve")) {
+            peer->write(makeResponse("r0", ""));
+            answer(peer, "409 Conflict");
+        } else if (request.head.target.starts_with("/release")) {
+            answer(peer, "200 OK");
+        } else {
+            ++plainRequests;
+            peer->write(makeResponse(request.header("Request-Id"), "id: 1\ndata: x\n\n"));
+        }
+    };
+    for (const char *id : { "e1", "e2" })
+        addUpstream(id, script, "engines");
+    const auto view = sendAndWait("/stream/", "r1", "Tokens: 12000\r\n");
+    BOOST_CHECK_EQUAL(view->status, 503);
+    BOOST_CHECK_EQUAL(plainRequests, 0);
+}
+
 // Guards against memory that stays reserved until the deadline of a request that its engine never
 // begins, although other engines could run it.
 BOOST_AUTO_TEST_CASE(unusedMemoryIsReleasedAndTheRequestGoesToAnotherEngine)
