Exchange: Send requests without an id on connections of their own

Callers could be told "not run" by a late copy of an earlier refusal: without an id a copy can't be told from the response, and the rule that such a response proves nothing on a kept connection left these requests out.

Change: they get a new connection, and the rule holds for all requests.

Evidence: requestWithoutAnIdGetsAConnectionOfItsOwn failed before and passes.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -553,7 +553,9 @@
     m_retainedPrefix =
             m_state.retainedPrompts.find(record->id, m_promptPrefixes, m_attemptStartedAt);
     m_buffer.clear();
-    m_connection = m_state.pool.acquire(record->id, record->address);
+    // Without an id, a late copy of an earlier response can't be told from the response.
+    m_connection = m_requestId.empty() ? m_state.pool.open(record->address)
+                                       : m_state.pool.acquire(record->id, record->address);
     if (isStream()) {
         m_streamId = ++m_state.lastStreamNumber;
         m_speedStream = EngineSpeeds::Stream(m_streamId);
--- a/Services/Gateway/UpstreamConnectionPool.cpp
+++ b/Services/Gateway/UpstreamConnectionPool.cpp
@@ -26,6 +26,11 @@
         }
         connection->abandon();
     }
+    return open(address);
+}
+
+std::shared_ptr<HttpConnection> UpstreamConnectionPool::open(const std::string &address)
+{
     return std::make_shared<HttpConnection>(m_context, m_clock, address);
 }
 
--- a/Services/Gateway/UpstreamConnectionPool.h
+++ b/Services/Gateway/UpstreamConnectionPool.h
@@ -33,6 +33,9 @@
     std::shared_ptr<HttpConnection> acquire(const std::string &upstream,
                                             const std::string &address);
 
+    /// Returns a new connection to the process at `address`.
+    std::shared_ptr<HttpConnection> open(const std::string &address);
+
     /// Keeps the connection for the next request, or closes it. `maximumConnections` is the
     /// upstream's limit for all gateways together; zero means no limit.
     void release(const std::string &upstream, std::shared_ptr<HttpConnection> connection,
--- a/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
+++ b/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
@@ -187,6 +187,23 @@
     BOOST_CHECK_EQUAL(sendAndWait("/once/", "r2")->status, 502);
 }
 
+// Guards against the same for a request that has no id itself, where every copy may be its own.
+BOOST_AUTO_TEST_CASE(requestWithoutAnIdGetsAConnectionOfItsOwn)
+{
+    int requests = 0;
+    const auto script = [&](const ReceivedRequest &request, const Peer &peer) {
+        if (++requests == 2)
+            peer->write("HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        else
+            peer->write(makeResponse(request.header("Request-Id"), "done"));
+    };
+    const auto &upstream = addUpstream("u1", script);
+    BOOST_CHECK_EQUAL(sendAndWait("/once/", "r1")->status, 200);
+    sendRaw("GET /once/ HTTP/1.1\r\nHost: h\r\nKey: k\r\nConnection: close\r\n\r\n");
+    BOOST_CHECK_EQUAL(requests, 2);
+    BOOST_CHECK_EQUAL(upstream.connectionCount(), 2);
+}
+
 // Comments keep a connection alive, but they are no sign that the engine works on the stream.
 BOOST_AUTO_TEST_CASE(commentsAreForwardedButAreNoProgress)
 {
