ResponseAssessment: Resume streams only with a response of the same kind

Callers saw: a stream that ended as complete in the middle, or went on with other text, where the upstream that should resume it answered 204 or 206, or 200 with another media type.

Cause: each success with id and signature counted as the continuation.

Change: status and media type must be those of the begun response.

Evidence: successOfAnotherKindDoesNotResumeAStream failed before and passes.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -624,7 +624,10 @@
     const auto self = shared_from_this();
     m_attemptHead = head;
     m_assessment = ResponseAssessment::of(
-            head, { .connectionReused = m_connection->isReused() }, m_state.dialect);
+            head,
+            { .connectionReused = m_connection->isReused(),
+              .begunResponse = m_writer.hasBegun() ? &m_responseHead : nullptr },
+            m_state.dialect);
     // A resumed stream keeps the head of its first upstream.
     if (!m_writer.hasBegun())
         m_responseHead = head;
--- a/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
+++ b/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
@@ -204,6 +204,39 @@
     BOOST_CHECK_EQUAL(upstream.connectionCount(), 2);
 }
 
+// Guards against a stream that ends as complete, or goes on with other text, where the upstream
+// that should resume it succeeds with something else.
+BOOST_AUTO_TEST_CASE(successOfAnotherKindDoesNotResumeAStream)
+{
+    const std::vector<std::string> others {
+        "HTTP/1.1 204 X\r\nRequest-Id: r1\r\nProof: p\r\n\r\n",
+        "HTTP/1.1 206 X\r\nRequest-Id: r1\r\nProof: p\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 X\r\nRequest-Id: r1\r\nProof: p\r\nContent-Type: text/html\r\n"
+        "Content-Length: 12\r\n\r\n<p>no</p>\r\n\n",
+    };
+    for (const std::string &other : others) {
+        state.upstreams.replaceAll({}, clock.now());
+        int requests = 0;
+        const auto script = [&](const ReceivedRequest &, const Peer &peer) {
+            if (++requests > 1) {
+                peer->write(other);
+                return;
+            }
+            peer->write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p\r\n"
+                        "Content-Type: text/event-stream; charset=utf-8\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n"
+                        + chunk("id: 1\ndata: x\n\n"));
+            peer->closeAfterOutput();
+        };
+        for (const char *id : { "u1", "u2" })
+            addUpstream(id, script, "engines");
+        const auto response = sendAndWait("/stream/", "r1", "Tokens: 100,10\r\n", "x");
+        BOOST_CHECK_EQUAL(requests, 2);
+        BOOST_CHECK_MESSAGE(response->failed, other);
+        BOOST_CHECK_EQUAL(response->body, "id: 1\ndata: x\n\n");
+    }
+}
+
 // Comments keep a connection alive, but they are no sign that the engine works on the stream.
 BOOST_AUTO_TEST_CASE(commentsAreForwardedButAreNoProgress)
 {
--- a/include/lavenderpick/Forward/ResponseAssessment.h
+++ b/include/lavenderpick/Forward/ResponseAssessment.h
@@ -23,6 +23,8 @@
     /// Whether earlier requests were sent on the connection, so that a late copy of a response to
     /// one of them may arrive.
     bool connectionReused { false };
+    /// Head of the response whose beginning the caller has already; null if it has none.
+    const ResponseHead *begunResponse { nullptr };
 };
 
 struct ResponseAssessment
