Exchange: Don't resume a stream whose last event has no id

Callers saw: an event twice, since the stream resumed after an earlier id.

Cause: a stream resumed after its last id, even if events came after it.

Change: EventSplitter knows whether the last complete event had an id. Without one the stream is cut, which callers can see.

Evidence: streamWithEventsAfterTheLastIdIsNotResumed failed before and passes.

--- a/Libraries/LibForward/EventSplitter.cpp
+++ b/Libraries/LibForward/EventSplitter.cpp
@@ -33,6 +33,7 @@
 void EventSplitter::parseEvents(std::string_view events)
 {
     bool inEvent = false;
+    bool hasId = false;
     while (!events.empty()) {
         const std::size_t end = events.find('\n');
         std::string_view line = events.substr(0, end);
@@ -40,8 +41,12 @@
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
         if (line.empty()) {
-            m_eventCount += inEvent ? 1 : 0;
+            if (inEvent) {
+                ++m_eventCount;
+                m_endsWithId = hasId;
+            }
             inEvent = false;
+            hasId = false;
             continue;
         }
         if (line.front() == ':')
@@ -54,6 +59,7 @@
         if (!line.empty() && line.front() == ' ')
             line.remove_prefix(1);
         m_lastEventId = line;
+        hasId = true;
     }
 }
 
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -862,10 +862,16 @@
 
 bool Exchange::mayRetryOpenAttempt() const
 {
-    return remaining() >= minimumTimeToSend
+    return remaining() >= minimumTimeToSend && mayResume()
             && m_history.mayRetryOpenAttempt(*m_route, m_writer.hasBegun());
 }
 
+// Whether another upstream can go on exactly where the caller's response ends.
+bool Exchange::mayResume() const
+{
+    return !m_writer.hasBegun() || m_events.endsWithId();
+}
+
 void Exchange::forwardBufferedFailure()
 {
     endAttempt();
@@ -921,7 +927,7 @@
     endAttempt();
     m_events.discardPartial();
     m_history.record(m_decision.upstream, outcome);
-    if (remaining() >= minimumTimeToSend
+    if (remaining() >= minimumTimeToSend && mayResume()
         && m_history.mayRetry(*m_route, outcome, m_writer.hasBegun()))
         retry(outcome, cause);
     else
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -103,6 +103,7 @@
     void finishForwarding();
     void handleUpstreamFailure();
     bool mayRetryOpenAttempt() const;
+    bool mayResume() const;
     void failAttempt(AttemptOutcome outcome, const std::string &cause);
     void retry(AttemptOutcome outcome, const std::string &cause);
     void endAttempt();
--- a/Tests/LibForward/TestEventSplitter.cpp
+++ b/Tests/LibForward/TestEventSplitter.cpp
@@ -37,4 +37,17 @@
     BOOST_CHECK_EQUAL(events.lastEventId(), "7");
 }
 
+// Guards against a resumed stream that repeats events which came after the last id.
+BOOST_AUTO_TEST_CASE(eventsWithoutIdsAreNotedForResuming)
+{
+    EventSplitter events;
+    BOOST_CHECK(events.endsWithId());
+    events.feed(": comment\n\n");
+    BOOST_CHECK(events.endsWithId());
+    events.feed("data: a\n\n");
+    BOOST_CHECK(!events.endsWithId());
+    events.feed("id: 1\ndata: b\n\n: comment\n\ndata: partial");
+    BOOST_CHECK(events.endsWithId());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
+++ b/Tests/ServiceGateway/TestUpstreamsInTrouble.cpp
@@ -237,6 +237,26 @@
     }
 }
 
+// Guards against an event that comes twice, where it had no id and the stream resumes before it.
+BOOST_AUTO_TEST_CASE(streamWithEventsAfterTheLastIdIsNotResumed)
+{
+    const auto script = [](const ReceivedRequest &request, const Peer &peer) {
+        const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n";
+        const std::string unnamed = "data: y\n\n";
+        if (request.header("Last-Event-Id").empty())
+            peer->write(head + chunk("id: 1\ndata: x\n\n" + unnamed));
+        else
+            peer->write(head + chunk(unnamed) + std::string(lastChunk));
+        peer->closeAfterOutput();
+    };
+    for (const char *id : { "u1", "u2" })
+        addUpstream(id, script, "engines");
+    const auto response = sendAndWait("/stream/", "r1", "Tokens: 100,10\r\n", "x");
+    BOOST_CHECK(response->failed);
+    BOOST_CHECK_EQUAL(response->body, "id: 1\ndata: x\n\ndata: y\n\n");
+}
+
 // Comments keep a connection alive, but they are no sign that the engine works on the stream.
 BOOST_AUTO_TEST_CASE(commentsAreForwardedButAreNoProgress)
 {
--- a/include/lavenderpick/Forward/EventSplitter.h
+++ b/include/lavenderpick/Forward/EventSplitter.h
@@ -22,6 +22,10 @@
     /// The last id in the complete events; empty before the first.
     const std::string &lastEventId() const { return m_lastEventId; }
 
+    /// Whether no complete event came after the one with the last id. A stream that resumes after
+    /// that id would otherwise repeat events.
+    bool endsWithId() const { return m_endsWithId; }
+
     std::size_t eventCount() const { return m_eventCount; }
 
 private:
@@ -31,6 +35,7 @@
     std::size_t m_lineStart { 0 }; ///< Offset of the incomplete line in `m_partial`.
     std::string m_lastEventId;
     std::size_t m_eventCount { 0 };
+    bool m_endsWithId { true };
 };
 
 } // namespace Lavenderpick
