--- a/Tests/ServiceGateway/ScriptedUpstream.cpp
+++ b/Tests/ServiceGateway/ScriptedUpstream.cpp
@@ -33,6 +33,11 @@
         m_open = false;
         m_stream->closeAfterOutput();
     }
+    void reset() override
+    {
+        m_open = false;
+        m_stream->reset();
+    }
     bool isOpen() const override { return m_open; }
 
 private:
--- a/Tests/ServiceGateway/ScriptedUpstream.h
+++ b/Tests/ServiceGateway/ScriptedUpstream.h
@@ -34,6 +34,9 @@
 
     /// Closes the connection in an orderly way after all written bytes have been sent.
     virtual void closeAfterOutput() = 0;
+
+    /// Closes the connection with a TCP reset.
+    virtual void reset() = 0;
     virtual bool isOpen() const = 0;
 };
 
