--- a/Libraries/LibBase/Units.cpp
+++ b/Libraries/LibBase/Units.cpp
@@ -81,6 +81,16 @@
     return value;
 }
 
+std::optional<std::int64_t> parseInteger(std::string_view text)
+{
+    std::int64_t value = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end)
+        return std::nullopt;
+    return value;
+}
+
 std::string formatDuration(Duration duration)
 {
     return formatWithUnit(toMilliseconds(duration), durationUnits);
--- a/Services/Gateway/EngineCalls.cpp
+++ b/Services/Gateway/EngineCalls.cpp
@@ -22,7 +22,7 @@
 class EngineCalls::Call : public ResponseListener
 {
 public:
-    Call(GatewayState &state, std::string upstream, std::function<void(bool)> done)
+    Call(GatewayState &state, std::string upstream, ResultCallback done)
         : m_state(state)
         , m_upstream(std::move(upstream))
         , m_done(std::move(done))
@@ -38,8 +38,10 @@
         m_connection->setLimits(controlCallLimits);
         std::string head = call.method + " " + call.target + " HTTP/1.1\r\n";
         appendField("Host", address, head);
-        appendField("Content-Type", "application/json", head);
-        appendFraming(BodyFraming::Length, call.body.size(), head);
+        if (!call.body.empty()) {
+            appendField("Content-Type", "application/json", head);
+            appendFraming(BodyFraming::Length, call.body.size(), head);
+        }
         head += "\r\n";
         m_connection->send(std::move(head), std::make_shared<const std::string>(call.body), false,
                            *this);
@@ -72,35 +74,36 @@
         if (m_record)
             m_state.recordNotices(*m_record, head);
     }
-    void bodyArrived(std::string_view) override { }
+    void bodyArrived(std::string_view bytes) override { m_body.append(bytes); }
 
     void responseEnded() override
     {
         m_state.keepConnection(m_upstream, m_connection);
-        finish(m_accepted);
+        finish({ .accepted = m_accepted, .body = m_accepted ? std::move(m_body) : std::string() });
     }
 
     void requestFailed(ConnectionFailure failure) override
     {
         log(LogLevel::Info, "reservation", "an engine did not answer a control call",
             { { "upstream", m_upstream }, { "failure", toString(failure) } });
-        finish(false);
+        finish({});
     }
 
 private:
-    void finish(bool accepted)
+    void finish(const Answer &answer)
     {
         const auto self = std::move(m_self);
         if (m_done)
-            m_done(accepted);
+            m_done(answer);
     }
 
     GatewayState &m_state;
     std::string m_upstream;
     std::optional<UpstreamRecord> m_record; ///< As listed when the call was sent.
-    std::function<void(bool)> m_done;
+    ResultCallback m_done;
     std::shared_ptr<HttpConnection> m_connection;
     std::shared_ptr<Call> m_self;
+    std::string m_body;
     bool m_accepted { false };
 };
 
--- a/Services/Gateway/EngineCalls.h
+++ b/Services/Gateway/EngineCalls.h
@@ -17,7 +17,14 @@
 class EngineCalls
 {
 public:
-    using ResultCallback = std::function<void(bool accepted)>;
+    struct Answer
+    {
+        bool accepted { false }; ///< The engine answered with success.
+        std::string body {};     ///< Empty unless accepted.
+
+        bool operator==(const Answer &) const = default;
+    };
+    using ResultCallback = std::function<void(const Answer &answer)>;
 
     explicit EngineCalls(GatewayState &state);
     ~EngineCalls();
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -2,10 +2,10 @@
 
 #include "Services/Gateway/ProblemResponse.h"
 #include "lavenderpick/Base/Log.h"
+#include "lavenderpick/Base/Units.h"
 #include "lavenderpick/Forward/HttpMessage.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -50,18 +50,6 @@
     return std::round(inMilliseconds(duration) * 10) / 10;
 }
 
-std::optional<std::int64_t> parseInteger(const std::string *text)
-{
-    std::int64_t value = 0;
-    if (text == nullptr)
-        return std::nullopt;
-    const char *end = text->data() + text->size();
-    const auto parsed = std::from_chars(text->data(), end, value);
-    if (parsed.ec != std::errc() || parsed.ptr != end)
-        return std::nullopt;
-    return value;
-}
-
 } // namespace
 
 Exchange::Exchange(GatewayState &state, CallerStream &caller, RequestHead head, std::string body)
@@ -129,7 +117,8 @@
 
 std::optional<Duration> Exchange::callerTimeLeft() const
 {
-    const auto milliseconds = parseInteger(m_head.headers.find(m_state.dialect.names().timeLeftMs));
+    const std::string *text = m_head.headers.find(m_state.dialect.names().timeLeftMs);
+    const auto milliseconds = text == nullptr ? std::nullopt : parseInteger(*text);
     if (!milliseconds || *milliseconds < 0)
         return std::nullopt;
     return Milliseconds(*milliseconds);
--- a/Services/Gateway/MemoryReserver.cpp
+++ b/Services/Gateway/MemoryReserver.cpp
@@ -1,6 +1,10 @@
 #include "Services/Gateway/MemoryReserver.h"
 
+#include "lavenderpick/Base/Error.h"
+#include "lavenderpick/Base/Log.h"
+
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace Lavenderpick {
@@ -41,10 +45,11 @@
     m_state.engineCalls.send(
             upstream, reservation.address,
             m_state.dialect.reserveMemory(reservation.id, reservation.tokens, lifetime()),
-            [weak = weak_from_this(), &state = m_state, upstream, reservation](bool accepted) {
+            [weak = weak_from_this(), &state = m_state, upstream,
+             reservation](const EngineCalls::Answer &answer) {
                 if (const auto self = weak.lock())
-                    self->recordAnswer(upstream, reservation, accepted);
-                else if (accepted)
+                    self->recordAnswer(upstream, reservation, answer.accepted);
+                else if (answer.accepted)
                     sendRelease(state, upstream, reservation);
             });
 }
@@ -107,6 +112,28 @@
     m_renewAt = now + renewalInterval;
     for (const auto &[upstream, activeReservation] : m_reservations)
         send(upstream, activeReservation);
+    if (!m_used && now - m_reservedAt >= m_state.settings.unusedReservationLimit - questionLead)
+        askForUse();
+}
+
+void MemoryReserver::askForUse()
+{
+    for (const auto &[upstream, reservation] : m_reservations)
+        m_state.engineCalls.send(
+                upstream, reservation.address, m_state.dialect.reservationStates(),
+                [weak = weak_from_this(), upstream = upstream,
+                 id = reservation.id](const EngineCalls::Answer &answer) {
+                    const auto self = weak.lock();
+                    if (!self || !answer.accepted)
+                        return;
+                    try {
+                        if (self->m_state.dialect.isReservationUsed(answer.body, id))
+                            self->recordUse();
+                    } catch (const Error &error) {
+                        log(LogLevel::Warning, "reservation", error.what(),
+                            { { "upstream", upstream }, { "reservation", id } });
+                    }
+                });
 }
 
 void MemoryReserver::release()
--- a/Services/Gateway/MemoryReserver.h
+++ b/Services/Gateway/MemoryReserver.h
@@ -23,6 +23,9 @@
     /// earlier.
     static constexpr Duration reservationLifetime { Milliseconds(3'000) };
     static constexpr Duration renewalInterval { Milliseconds(1'000) };
+    /// From when on the engines are asked whether the memory is used, before the limit. An engine
+    /// may prefill a prompt for many seconds before its first event.
+    static constexpr Duration questionLead { Milliseconds(3'000) };
     /// How long before the limit a request that does not use its memory loses it. A renewal after a
     /// late first event must still arrive, and a release after that time takes a round trip.
     static constexpr Duration unusedMargin { Milliseconds(1'000) };
@@ -40,7 +43,7 @@
     /// The id of the reservation at the upstream; empty if there is none.
     std::string reservationId(const std::string &upstream) const;
 
-    /// The request has begun to use the memory.
+    /// The request has begun to use the memory: an event came, or an engine says so.
     void recordUse() { m_used = true; }
 
     /// Whether the request has not used the memory for so long that it must be released.
@@ -67,6 +70,8 @@
     void recordAnswer(const std::string &upstream, const ActiveReservation &reservation,
                       bool accepted);
     void recordResult(bool accepted);
+    /// Asks each engine whether the request uses the memory reserved there.
+    void askForUse();
     static void sendRelease(GatewayState &state, const std::string &upstream,
                             const ActiveReservation &reservation);
 
--- a/Tests/PlatformAdapter/TestRecordDecoder.cpp
+++ b/Tests/PlatformAdapter/TestRecordDecoder.cpp
@@ -270,6 +270,19 @@
                       "10.2.64.3:8080/t81,10.2.64.5:8080");
 }
 
+// Guards against memory that is released under a prompt which its engine prefills.
+BOOST_AUTO_TEST_CASE(usedReservationsAreReadFromAnEnginesReport)
+{
+    const Platform::PlatformDialect dialect;
+    const std::string report = R"({"active":1,"tickets":[{"id":"t1","state":"held"},)"
+                               R"({"id":"t2","state":"used"},{"id":7,"state":"used"}]})";
+    BOOST_CHECK(!dialect.isReservationUsed(report, "t1"));
+    BOOST_CHECK(dialect.isReservationUsed(report, "t2"));
+    BOOST_CHECK(!dialect.isReservationUsed(report, "t3"));
+    BOOST_CHECK_THROW(dialect.isReservationUsed(R"({"active":1})", "t1"), Error);
+    BOOST_CHECK_THROW(dialect.isReservationUsed("", "t1"), Error);
+}
+
 // Ids of callers are any bytes; those that are no UTF-8 ended the process.
 BOOST_AUTO_TEST_CASE(ordersForIdsThatAreNoTextAreValid)
 {
--- a/Tests/ServiceGateway/GatewayFixture.h
+++ b/Tests/ServiceGateway/GatewayFixture.h
@@ -37,6 +37,11 @@
     EngineCall reserveMemory(const std::string &reservation, std::int64_t tokens,
                              Duration hold) const override;
     EngineCall releaseMemory(const std::string &reservation) const override;
+    EngineCall reservationStates() const override { return { .method = "GET", .target = "/used" }; }
+    bool isReservationUsed(std::string_view states, std::string_view reservation) const override
+    {
+        return states == reservation;
+    }
 
 private:
     HeaderNames m_names {
--- a/Tests/ServiceGateway/TestMemoryReserver.cpp
+++ b/Tests/ServiceGateway/TestMemoryReserver.cpp
@@ -49,6 +49,7 @@
     {
         bool hang { true };
         bool beginBeforeHanging { false };
+        bool prefilling { false }; ///< Reservations are used, though no event comes yet.
         int requests { 0 };
         TimePoint latestEnd {}; ///< Until which an accepted reservation holds.
         std::multiset<std::string> released;
@@ -78,6 +79,8 @@
                                     std::stoll(request.body.substr(request.body.find(' '))));
                             hanging->latestEnd = std::max(hanging->latestEnd, clock.now() + hold);
                             answer(peer, "200 OK");
+                        } else if (target == "/used") {
+                            peer->write(makeResponse("", hanging->prefilling ? "r1-0-0" : ""));
                         } else if (target.starts_with("/release")) {
                             hanging->released.insert(target);
                             answer(peer, "200 OK");
@@ -210,6 +213,21 @@
     BOOST_CHECK_EQUAL(hanging->requests, 1);
 }
 
+// Guards against an end of requests whose engines prefill a long prompt before the first event.
+BOOST_AUTO_TEST_CASE(memoryThatAnEngineSaysIsUsedStaysReserved)
+{
+    setTimeouts(Seconds(60));
+    const std::shared_ptr<HangingEngines> hanging = addHangingEngines(3);
+    hanging->prefilling = true;
+    const auto view = send("/stream/", "r1", "Tokens: 12000\r\n");
+    BOOST_REQUIRE(runUntil([&] { return hanging->requests == 1; }));
+    while (clock.now() - start < Seconds(20))
+        advance(Milliseconds(100));
+    BOOST_CHECK(!view->isDone());
+    BOOST_CHECK(hanging->released.empty());
+    BOOST_CHECK(hanging->latestEnd >= clock.now());
+}
+
 // Guards against an end of streams that run longer than memory may stay unused.
 BOOST_AUTO_TEST_CASE(usedMemoryStaysReserved)
 {
--- a/include/lavenderpick/Base/Units.h
+++ b/include/lavenderpick/Base/Units.h
@@ -20,6 +20,9 @@
 /// Reads a decimal number of zero or more without a unit; empty when the text is not one.
 std::optional<double> parseDecimal(std::string_view text);
 
+/// Reads an integer without a unit; empty when the text is not one or does not fit.
+std::optional<std::int64_t> parseInteger(std::string_view text);
+
 /// Writes what `parseDuration` and `parseBytes` read, with the largest unit that keeps the value
 /// whole. Durations are rounded down to milliseconds.
 std::string formatDuration(Duration duration);
--- a/include/lavenderpick/Forward/RequestDialect.h
+++ b/include/lavenderpick/Forward/RequestDialect.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Lavenderpick {
@@ -68,9 +69,10 @@
     /// The token counts that a request announces; empty if there are none or they can't be parsed.
     virtual std::optional<GenerationSize> generationSize(const HeaderList &headers) const = 0;
 
-    /// Ids of the parts of the prompt that other requests may contain too, in order; empty if the
-    /// request announces none or they can't be parsed.
-    virtual std::vector<std::string> sharedPromptParts(const HeaderList &headers) const = 0;
+    /// Ids of the parts of the prompt that other requests may contain too, in order: all but the
+    /// last, which is the request's or its session's own. Empty if the request announces none or
+    /// they can't be parsed.
+    virtual std::vector<std::string> sharedPromptParts(const HeaderList &headers) const;
 
     /// All parts of the prompt with their lengths, in order; empty if the request announces none or
     /// they can't be parsed.
@@ -103,6 +105,13 @@
     virtual EngineCall reserveMemory(const std::string &reservation, std::int64_t tokens,
                                      Duration hold) const = 0;
     virtual EngineCall releaseMemory(const std::string &reservation) const = 0;
+
+    /// Asks an engine for the state of its reservations.
+    virtual EngineCall reservationStates() const = 0;
+
+    /// Whether an engine's answer to `reservationStates` says that a request uses the memory of the
+    /// reservation. Throws `Error` if it can't be parsed.
+    virtual bool isReservationUsed(std::string_view states, std::string_view reservation) const = 0;
 };
 
 } // namespace Lavenderpick
