Exchange: Reject waiting requests that a stopping gateway can't finish

Cause: only requests with a placement were asked whether the process can finish them before it exits.

Change: each wait begins with that question, for the earliest end of the wait. What can't be finished then is rejected at once, 503 and not run.

--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -26,6 +26,8 @@
 constexpr Duration defaultRetryAfter { Milliseconds(300) };
 // Callers return over up to this time after a pause of their upstreams.
 constexpr Duration longestReturnSpread { Seconds(5) };
+// No request takes less than this; a stopping gateway also needs some time to send a rejection.
+constexpr Duration shortestRun { Milliseconds(100) };
 // A restarted gateway is back within about a second of its exit.
 constexpr Duration restartRetryAfter { Seconds(1) };
 // A safe request is retried at another upstream when the first is silent for this many objectives;
@@ -295,8 +297,7 @@
     // A request that was accepted and attempted before continues, if need be at another upstream.
     if (m_history.attempts() == 0
         && !m_state.stop.mayAcceptRequest(now, expectedDuration(), longestDuration())) {
-        refuse(503, RefusalReason::NotReady,
-               "The gateway is stopping and can't finish the request.", restartRetryAfter);
+        refuseForStop();
         return;
     }
     m_decision.placement.expires = m_deadline + placementExpirySlack;
@@ -348,7 +349,7 @@
         return false;
     if (m_state.isFair() && !isAcceptable)
         m_state.scarceCapacity.order().recordShortage(m_service, now);
-    waitForPlacement(latestStart);
+    waitForPlacement(now, latestStart);
     return true;
 }
 
@@ -360,7 +361,7 @@
     const TimePoint now = m_state.clock.now();
     if (!wait || *wait <= Duration {} || now + *wait >= due)
         return false;
-    waitForPlacement(due);
+    waitForPlacement(now + *wait, due);
     return true;
 }
 
@@ -369,14 +370,21 @@
     const std::optional<Duration> wait = timeUntilPauseEnds();
     const TimePoint latestStart = m_deadline - m_route->objective;
     // What was sent once may not be sent to the same upstreams again.
-    if (!wait || m_history.attempts() > 0 || m_state.clock.now() + *wait > latestStart)
+    const TimePoint now = m_state.clock.now();
+    if (!wait || m_history.attempts() > 0 || now + *wait > latestStart)
         return false;
-    waitForPlacement(latestStart);
+    waitForPlacement(now + *wait, latestStart);
     return true;
 }
 
-void Exchange::waitForPlacement(TimePoint latestStart)
+// Waits for a placement that may come after `earliestStart`. A request that this process can't
+// finish then is rejected at once, since its caller may succeed elsewhere.
+void Exchange::waitForPlacement(TimePoint earliestStart, TimePoint latestStart)
 {
+    if (!m_state.stop.mayAcceptRequest(earliestStart, shortestRun)) {
+        refuseForStop();
+        return;
+    }
     m_waitingId = m_state.waiting.add(*this, competingRequest(latestStart));
 }
 
@@ -478,6 +486,15 @@
     m_waitingId.reset();
 }
 
+void Exchange::refuseForStop()
+{
+    if (!m_history.hasNotRun())
+        failRequest("stopping");
+    else
+        refuse(503, RefusalReason::NotReady,
+               "The gateway is stopping and can't finish the request.", restartRetryAfter);
+}
+
 void Exchange::refuseUnplaced()
 {
     if (!m_history.hasNotRun() || m_writer.hasBegun())
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -54,8 +54,9 @@
     bool waitForBetterPlacement();
     bool waitForRateLimit();
     bool waitForPauses();
-    void waitForPlacement(TimePoint latestStart);
+    void waitForPlacement(TimePoint earliestStart, TimePoint latestStart);
     void stopWaiting();
+    void refuseForStop();
     void refuseUnplaced();
     const EngineParameters *engine() const;
     const std::string &customerName() const;
--- a/Tests/ServiceGateway/TestUpstreamNotices.cpp
+++ b/Tests/ServiceGateway/TestUpstreamNotices.cpp
@@ -170,6 +170,40 @@
     BOOST_CHECK_EQUAL(waiting->status, 200);
 }
 
+// Guards against requests that wait for a pause beyond the end of their process, and are cut
+// without an answer when it exits.
+BOOST_AUTO_TEST_CASE(requestsThatWaitBeyondAPlannedStopAreRejected)
+{
+    ServingConfigurationParts parts = makeConfiguration();
+    for (Route &route : parts.routes)
+        route.timeout = Seconds(15);
+    state.configuration = std::make_shared<ServingConfiguration>(parts);
+    state.stop.setGracePeriod(Seconds(8));
+    for (const auto &[pause, isRejected] :
+         { std::pair(Milliseconds(8'500), true), std::pair(Milliseconds(6'000), false) }) {
+        state.upstreams.replaceAll({}, clock.now());
+        int requests = 0;
+        addUpstream("u-" + std::to_string(pause.count()),
+                    [&, pause = pause](const ReceivedRequest &request, const Peer &peer) {
+                        (++requests == 1 ? pauseFor(pause) : succeedWith())(request, peer);
+                    });
+        BOOST_CHECK_EQUAL(sendAndWait("/once/", "r1")->status, 503);
+        const auto waiting = send("/once/", "r2");
+        BOOST_CHECK(!runUntil([&] { return waiting->isDone(); }, std::chrono::milliseconds(50)));
+        state.stop.begin(clock.now());
+        BOOST_CHECK_EQUAL(
+                runUntil([&] { return waiting->isDone(); }, std::chrono::milliseconds(200)),
+                isRejected);
+        if (!isRejected) {
+            clock.advance(pause);
+            expire();
+            BOOST_REQUIRE(runUntil([&] { return waiting->isDone(); }));
+        }
+        BOOST_CHECK_EQUAL(waiting->status, isRejected ? 503 : 200);
+        BOOST_CHECK_EQUAL(requests, isRejected ? 1 : 2);
+    }
+}
+
 // Guards against requests beyond the limit of an upstream that has just started, and against
 // callers who are refused although its next turn comes within their objective.
 BOOST_AUTO_TEST_CASE(requestsWaitForTheirTurnAtAColdUpstream)
