ByteStream: Tell callers whose window is closed from those that are gone

Cause: the kernel's timeout of 1.5 s for unacknowledged data counts a closed window too, and was lifted only for plain answers over 16 KiB.

Change: after each write to a caller, output that the kernel holds back although the congestion window has room shows that the caller's window is closed.

--- a/Services/Gateway/ByteStream.cpp
+++ b/Services/Gateway/ByteStream.cpp
@@ -3,7 +3,9 @@
 #include "lavenderpick/Base/Log.h"
 
 #include <array>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace Lavenderpick {
 
@@ -191,6 +193,21 @@
         m_handler->outputDrained();
 }
 
+bool ByteStream::isBlockedByPeer()
+{
+    if (!isOpen())
+        return false;
+    const int handle = m_socket.native_handle();
+    int unsentBytes = 0;
+    if (::ioctl(handle, SIOCOUTQNSD, &unsentBytes) != 0 || unsentBytes == 0)
+        return false;
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    // Output that waits for acknowledgements fills the congestion window instead.
+    return ::getsockopt(handle, IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+            && info.tcpi_unacked < info.tcpi_snd_cwnd;
+}
+
 bool ByteStream::hasUnreadInput() const
 {
     asio::error_code error;
@@ -224,6 +241,8 @@
     if (m_closeAfterOutput || !isOpen())
         return;
     m_closeAfterOutput = true;
+    if (isBlockedByPeer())
+        setSlowReader(true);
     asio::error_code ignored;
     if (m_output.empty())
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/Services/Gateway/ByteStream.h
+++ b/Services/Gateway/ByteStream.h
@@ -67,6 +67,9 @@
     /// Whether output waits for the peer to read.
     bool hasPendingOutput() const { return isOpen() && !m_output.empty(); }
 
+    /// Whether the kernel holds output back because the peer's receive window is full.
+    bool isBlockedByPeer();
+
     /// Whether bytes have arrived that were not read yet.
     bool hasUnreadInput() const;
 
--- a/Services/Gateway/InboundConnection.cpp
+++ b/Services/Gateway/InboundConnection.cpp
@@ -63,7 +63,8 @@
         }
         if (m_parser.isIdle())
             m_requestStartedAt = m_state.clock.now();
-        if (m_toleratesSlowReader && !m_stream->hasPendingOutput()) {
+        if (m_toleratesSlowReader && !m_stream->hasPendingOutput()
+            && !m_stream->isBlockedByPeer()) {
             m_toleratesSlowReader = false;
             m_stream->setSlowReader(false);
         }
@@ -166,6 +167,8 @@
 void InboundConnection::writeResponse(std::string_view bytes)
 {
     m_stream->write(bytes);
+    if (!m_toleratesSlowReader && m_stream->isBlockedByPeer())
+        tolerateSlowReader();
 }
 
 void InboundConnection::tolerateSlowReader()
--- a/Tests/Processes/GatewayTest.py
+++ b/Tests/Processes/GatewayTest.py
@@ -184,11 +184,11 @@
             connection.close()
         self.assertTrue(any(line["message"] == "no longer accepting" for line in gateway.lines()))
 
-    def read_slowly(self, gateway, number, pause_s=0.0, bytes_per_s=None):
+    def read_slowly(self, gateway, number, pause_s=0.0, bytes_per_s=None, window=65536):
         """Sends a lookup and reads its answer slowly, or after a pause; returns the number of the body's bytes."""
         host, port = gateway.callers.split(":")
         with socket.socket() as connection:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window)
             connection.settimeout(20)
             connection.connect((host, int(port)))
             connection.sendall(b"GET /lookup/ HTTP/1.1\r\nHost: h\r\nApi-Key: key-1\r\n"
@@ -232,6 +232,15 @@
             for answer in [threads.submit(self.read_slowly, gateway, number, 4.0) for number in range(4)]:
                 self.assertEqual(answer.result(), 4_000_000)
 
+    def test_a_caller_with_a_small_window_that_pauses_gets_its_whole_answer(self):
+        # Guards against the same for small answers: what fits in a caller's window depends on the caller.
+        gateway = self.start()
+        for runner in self.runners:
+            runner.body = b"x" * 4_800
+        with concurrent.futures.ThreadPoolExecutor(4) as threads:
+            for answer in [threads.submit(self.read_slowly, gateway, number, 3.0, window=1024) for number in range(4)]:
+                self.assertEqual(answer.result(), 4_800)
+
     def test_settings_are_read_again_on_a_hangup(self):
         gateway = self.start()
         gateway.process.send_signal(signal.SIGHUP)
--- a/Tests/ServiceGateway/TestByteStream.cpp
+++ b/Tests/ServiceGateway/TestByteStream.cpp
@@ -22,9 +22,11 @@
 
 struct Fixture
 {
-    Fixture()
+    explicit Fixture(int receiveBufferBytes = 0)
     {
         asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+        if (receiveBufferBytes > 0)
+            acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
         asio::ip::tcp::socket socket(context);
         socket.connect(acceptor.local_endpoint());
         peer = acceptor.accept();
@@ -63,6 +65,19 @@
     BOOST_CHECK_EQUAL(handler.received, "whole");
 }
 
+// Guards against a peer with a small window that is reset as a dead one while it pauses.
+BOOST_AUTO_TEST_CASE(outputThatAPeerDoesNotTakeIsBlocked)
+{
+    Fixture small(1'024);
+    BOOST_CHECK(!small.stream->isBlockedByPeer());
+    small.stream->write(std::string(100, 'x'));
+    BOOST_CHECK(!small.stream->isBlockedByPeer());
+    small.stream->write(std::string(10'000, 'x'));
+    BOOST_CHECK(small.stream->isBlockedByPeer());
+    stream->write(std::string(10'000, 'x'));
+    BOOST_CHECK(!stream->isBlockedByPeer());
+}
+
 // Guards against a reset that a write learns of first, during a long upload: the next read then
 // finds a normal end, and part of a response without a length counted as the whole.
 BOOST_AUTO_TEST_CASE(resetThatAWriteLearnsOfIsNoOrderlyEnd)
