CrashEvidence: Let only suspects make a suspicion ambiguous

Cause: parts that were completed before the crashes, and were open at each of them, made the new part ambiguous, although they need twice as many crashes to be suspected themselves.

Change: only parts that could be suspected count as equally likely.

Evidence: partThatWasSoundBeforeDoesNotHideANewOne failed before and passes.

--- a/Libraries/LibForward/CrashEvidence.cpp
+++ b/Libraries/LibForward/CrashEvidence.cpp
@@ -122,27 +122,36 @@
 std::optional<SuspectedParts> CrashEvidence::suspect(TimePoint now) const
 {
     const auto count = [](const Score &score) { return std::pair(score.moments, score.crashes); };
-    // A sound part that all harmful prompts contain was open in other prompts too.
-    const auto isWorse = [&](const auto &left, const auto &right) {
-        return count(left.second) != count(right.second)
-                ? count(left.second) > count(right.second)
-                : left.second.prompts < right.second.prompts;
-    };
     const Scores all = scores(now);
-    const auto worst = std::min_element(all.begin(), all.end(), isWorse);
-    if (worst == all.end() || !isConvincing(worst->first, worst->second, now))
+    const auto mostCrashes =
+            std::max_element(all.begin(), all.end(), [&](const auto &left, const auto &right) {
+                return count(left.second) < count(right.second);
+            });
+    // Parts that were completed before need more crashes, so they don't make a new one ambiguous.
+    std::vector<Scores::const_iterator> suspects;
+    for (auto entry = all.begin(); entry != all.end(); ++entry) {
+        if (count(entry->second) == count(mostCrashes->second)
+            && isConvincing(entry->first, entry->second, now))
+            suspects.push_back(entry);
+    }
+    // A sound part that all harmful prompts contain was open in other prompts too.
+    const auto worst =
+            std::min_element(suspects.begin(), suspects.end(), [](auto left, auto right) {
+                return left->second.prompts < right->second.prompts;
+            });
+    if (worst == suspects.end())
         return std::nullopt;
-    const std::vector<std::string> together = alwaysTogetherWith(worst->first);
-    const bool isAmbiguous = std::any_of(all.begin(), all.end(), [&](const auto &other) {
-        return count(other.second) == count(worst->second)
-                && !std::binary_search(together.begin(), together.end(), other.first);
+    const auto &[part, score] = **worst;
+    const std::vector<std::string> together = alwaysTogetherWith(part);
+    const bool isAmbiguous = std::any_of(suspects.begin(), suspects.end(), [&](auto other) {
+        return !std::binary_search(together.begin(), together.end(), other->first);
     });
     if (isAmbiguous)
         return std::nullopt;
-    return SuspectedParts { .parts = withoutSoundParts(together, worst->first),
-                            .firstCrash = worst->second.first,
-                            .moments = worst->second.moments,
-                            .crashes = worst->second.crashes };
+    return SuspectedParts { .parts = withoutSoundParts(together, part),
+                            .firstCrash = score.first,
+                            .moments = score.moments,
+                            .crashes = score.crashes };
 }
 
 std::vector<std::string> CrashEvidence::alwaysTogetherWith(const std::string &part) const
--- a/Tests/LibForward/TestCrashEvidence.cpp
+++ b/Tests/LibForward/TestCrashEvidence.cpp
@@ -60,6 +60,16 @@
     BOOST_CHECK((suspected(1'000) == Parts { "bad" }));
 }
 
+// Guards against a new harmful part that is not blamed, since a part that was completed before the
+// crashes was open at each of them too.
+BOOST_AUTO_TEST_CASE(partThatWasSoundBeforeDoesNotHideANewOne)
+{
+    recordCompleted({ "before" }, at(-500), at(-200));
+    for (int index = 0; index < 3; ++index)
+        crash(index * 400, { { "bad" }, { "before" } });
+    BOOST_CHECK((suspected(1'000) == Parts { "bad" }));
+}
+
 BOOST_AUTO_TEST_CASE(partsThatNeverOccurredApartAreSuspectedTogether)
 {
     for (int index = 0; index < 3; ++index)
