PromptQuarantine: Count responses that end with their connections

Cause: a crash also ends such a response, so that none counted as complete and the evidence never sufficed; and of a broken prompt only the first 32 parts were kept.

Change: such a response counts as complete once no request has broken off at its upstream for 1.5 s before and after its end; of a long prompt, parts that were completed lately are left out first.

--- a/Libraries/LibForward/CrashEvidence.cpp
+++ b/Libraries/LibForward/CrashEvidence.cpp
@@ -66,6 +66,13 @@
         m_sound.emplace(part, sentAt);
 }
 
+bool CrashEvidence::hasCrashedSince(const std::string &upstream, TimePoint time) const
+{
+    return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const Crash &crash) {
+        return crash.upstream == upstream && crash.at >= time;
+    });
+}
+
 std::optional<TimePoint> CrashEvidence::soundSince(const std::string &part) const
 {
     const auto known = m_sound.find(part);
--- a/Libraries/LibForward/PromptQuarantine.cpp
+++ b/Libraries/LibForward/PromptQuarantine.cpp
@@ -11,6 +11,8 @@
 // One datagram holds about 64 KiB; with its longest list of parts a broken attempt takes 0.5 KiB.
 constexpr std::size_t maximumBrokenPerReport = 64;
 constexpr std::size_t maximumSoundPerReport = 128;
+// Each lasts 1.5 s; beyond these, completions at a higher rate add nothing to the evidence.
+constexpr std::size_t maximumUnconfirmed = 1'024;
 constexpr Duration answerInterval { Milliseconds(500) };
 // Peers that decided at slightly different times don't extend each other's quarantine.
 constexpr Duration minimumExtension { Seconds(5) };
@@ -58,12 +60,45 @@
 {
     if (attempt.promptParts.empty())
         return;
-    if (attempt.promptParts.size() > CrashEvidence::maximumParts)
-        attempt.promptParts.resize(CrashEvidence::maximumParts);
+    limitParts(attempt.promptParts);
     appendBounded(m_news.broken, attempt, maximumBrokenPerReport);
     addEvidence(attempt, Origin::Own, now);
 }
 
+void PromptQuarantine::limitParts(std::vector<std::string> &parts) const
+{
+    if (parts.size() <= CrashEvidence::maximumParts)
+        return;
+    // The harmful part is never completed, while those that all prompts begin with are.
+    std::stable_partition(parts.begin(), parts.end(),
+                          [this](const std::string &part) { return !m_evidence.soundSince(part); });
+    parts.resize(CrashEvidence::maximumParts);
+}
+
+void PromptQuarantine::recordCompletedAtClose(const std::string &upstream,
+                                              const std::vector<std::string> &promptParts,
+                                              TimePoint sentAt, TimePoint now)
+{
+    if (promptParts.empty())
+        return;
+    if (m_unconfirmed.size() >= maximumUnconfirmed)
+        m_unconfirmed.pop_front();
+    m_unconfirmed.push_back(
+            { .upstream = upstream, .promptParts = promptParts, .sentAt = sentAt, .endedAt = now });
+}
+
+void PromptQuarantine::confirmCompletions(TimePoint now)
+{
+    while (!m_unconfirmed.empty()
+           && m_unconfirmed.front().endedAt + CrashEvidence::crashSpan <= now) {
+        const UnconfirmedCompletion completion = std::move(m_unconfirmed.front());
+        m_unconfirmed.pop_front();
+        if (!m_evidence.hasCrashedSince(completion.upstream,
+                                        completion.endedAt - CrashEvidence::crashSpan))
+            recordCompleted(completion.promptParts, completion.sentAt, now);
+    }
+}
+
 void PromptQuarantine::recordCompleted(const std::vector<std::string> &promptParts,
                                        TimePoint sentAt, TimePoint now)
 {
@@ -239,6 +274,7 @@
 void PromptQuarantine::update(TimePoint now)
 {
     m_evidence.expire(now);
+    confirmCompletions(now);
     decide(now);
     std::erase_if(m_entries, [now](const Entry &entry) { return entry.until + probation <= now; });
     std::erase_if(m_answeredAt,
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -905,9 +905,12 @@
 
 void Exchange::recordCompletedPrompt()
 {
-    // An upstream that crashes also ends a response that is framed by the end of its connection.
-    if (m_attemptHead.framing != BodyFraming::UntilClose)
-        m_state.quarantine.recordCompleted(m_promptParts, m_attemptStartedAt, m_state.clock.now());
+    const TimePoint now = m_state.clock.now();
+    if (m_attemptHead.framing == BodyFraming::UntilClose)
+        m_state.quarantine.recordCompletedAtClose(m_decision.upstream, m_promptParts,
+                                                  m_attemptStartedAt, now);
+    else
+        m_state.quarantine.recordCompleted(m_promptParts, m_attemptStartedAt, now);
 }
 
 void Exchange::endAttempt()
--- a/Tests/LibForward/TestPromptQuarantine.cpp
+++ b/Tests/LibForward/TestPromptQuarantine.cpp
@@ -297,6 +297,76 @@
     BOOST_CHECK_EQUAL(news.broken.front().promptParts.size(), CrashEvidence::maximumParts);
 }
 
+// Guards against a harmful part that is never held because no response counts as complete, where
+// all of them end with their connections.
+BOOST_AUTO_TEST_CASE(responsesThatEndWithTheirConnectionsAreCompletions)
+{
+    PromptQuarantine quarantine;
+    TimePoint now = start;
+    for (int index = 0; index < 4; ++index) {
+        quarantine.recordCompletedAtClose("sound", { "shared" }, now, now);
+        now += Milliseconds(500);
+        quarantine.update(now);
+    }
+    for (int index = 0; index < 3; ++index) {
+        quarantine.recordBroken(
+                { .upstream = "u" + std::to_string(index), .promptParts = { "shared", "bad" } },
+                now);
+        now += Milliseconds(500);
+        quarantine.update(now);
+    }
+    BOOST_CHECK(quarantine.holdTime({ "shared", "bad" }, now));
+    BOOST_CHECK(!quarantine.holdTime({ "shared" }, now));
+}
+
+// Guards against a crash that counts as the end of a response, and so proves its prompt sound.
+BOOST_AUTO_TEST_CASE(responsesThatEndInACrashAreNoCompletions)
+{
+    const BrokenAttempt broken { .upstream = "u", .promptParts = { "other" } };
+    for (const Duration delay : { Milliseconds(-1'400), Milliseconds(0), Milliseconds(1'400) }) {
+        PromptQuarantine quarantine;
+        const QuarantineNews news {
+            .held = { { .parts = { "part" }, .left = Seconds(100), .firstCrashAgo = Seconds(10) } }
+        };
+        quarantine.apply(news, PromptQuarantine::Origin::Group, start);
+        if (delay <= Duration {})
+            quarantine.recordBroken(broken, start + delay);
+        quarantine.recordCompletedAtClose("u", { "part" }, start, start);
+        if (delay > Duration {})
+            quarantine.recordBroken(broken, start + delay);
+        quarantine.update(start + Seconds(2));
+        BOOST_CHECK(quarantine.holdTime({ "part" }, start + Seconds(2)));
+        quarantine.recordCompletedAtClose("u", { "part" }, start + Seconds(3), start + Seconds(4));
+        quarantine.update(start + Milliseconds(5'400));
+        BOOST_CHECK(quarantine.holdTime({ "part" }, start + Milliseconds(5'400)));
+        quarantine.update(start + Milliseconds(5'500));
+        BOOST_CHECK(!quarantine.holdTime({ "part" }, start + Milliseconds(5'500)));
+    }
+}
+
+// Guards against a harmful part that is never among the evidence, since many others stand before
+// it.
+BOOST_AUTO_TEST_CASE(harmfulPartBehindManyOthersIsHeld)
+{
+    PromptQuarantine quarantine;
+    std::vector<std::string> parts;
+    for (std::size_t index = 0; index < 2 * CrashEvidence::maximumParts; ++index)
+        parts.push_back("shared-" + std::to_string(index));
+    for (int index = 0; index < 3; ++index)
+        quarantine.recordCompleted(parts, start, start);
+    std::vector<std::string> harmful = parts;
+    harmful.push_back("bad");
+    TimePoint now = start;
+    for (int index = 0; index < 3; ++index) {
+        quarantine.recordBroken({ .upstream = "u" + std::to_string(index), .promptParts = harmful },
+                                now);
+        now += Milliseconds(500);
+        quarantine.update(now);
+    }
+    BOOST_CHECK(quarantine.holdTime(harmful, now));
+    BOOST_CHECK(!quarantine.holdTime(parts, now));
+}
+
 BOOST_AUTO_TEST_CASE(completedPromptEndsTheQuarantineAtAllGateways)
 {
     PromptQuarantine first;
--- a/include/lavenderpick/Forward/CrashEvidence.h
+++ b/include/lavenderpick/Forward/CrashEvidence.h
@@ -66,6 +66,9 @@
     /// Records that a peer completed a prompt with this part.
     void recordSound(const std::string &part, TimePoint sentAt);
 
+    /// Whether an attempt broke off at the upstream at `time` or later.
+    bool hasCrashedSince(const std::string &upstream, TimePoint time) const;
+
     /// When the newest completed prompt with this part was sent; empty if none is remembered.
     std::optional<TimePoint> soundSince(const std::string &part) const;
 
--- a/include/lavenderpick/Forward/PromptQuarantine.h
+++ b/include/lavenderpick/Forward/PromptQuarantine.h
@@ -2,6 +2,7 @@
 
 #include "lavenderpick/Forward/CrashEvidence.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -82,6 +83,13 @@
     void recordCompleted(const std::vector<std::string> &promptParts, TimePoint sentAt,
                          TimePoint now);
 
+    /// Records a response of the upstream that ended with its connection, which a crash ends too.
+    /// It counts as complete once no request has broken off there for `CrashEvidence::crashSpan`
+    /// before and after its end.
+    void recordCompletedAtClose(const std::string &upstream,
+                                const std::vector<std::string> &promptParts, TimePoint sentAt,
+                                TimePoint now);
+
     /// Applies what a peer reported.
     void apply(const QuarantineNews &news, Origin origin, TimePoint now);
 
@@ -107,6 +115,18 @@
         bool isHeld(TimePoint now) const { return now < until; }
     };
 
+    /// A response that may have been ended by a crash.
+    struct UnconfirmedCompletion
+    {
+        std::string upstream;
+        std::vector<std::string> promptParts;
+        TimePoint sentAt {};
+        TimePoint endedAt {};
+    };
+
+    void confirmCompletions(TimePoint now);
+    /// Leaves at most `CrashEvidence::maximumParts` parts, sound ones last.
+    void limitParts(std::vector<std::string> &parts) const;
     void addEvidence(const BrokenAttempt &attempt, Origin origin, TimePoint now);
     void renewOrExplain(const std::vector<std::string> &prompt, TimePoint now);
     void decide(TimePoint now);
@@ -119,6 +139,7 @@
 
     CrashEvidence m_evidence;
     std::vector<Entry> m_entries;
+    std::deque<UnconfirmedCompletion> m_unconfirmed; ///< By the time of their ends.
     QuarantineNews m_news;
     QuarantineNews m_groupNews;
     std::map<std::string, TimePoint> m_answeredAt; ///< By part that was reported as sound.
