LibForward: Keep what is newer than a store's older copy

A store that comes back from an older copy would bring an older configuration into force, end evacuations that hold, return upstreams that have left and remove those that registered since.

In a new era an older version of the configuration is ignored, the first listing ends no evacuation, and it neither returns processes that left nor removes others before they can register again.

Also corrects usedReservationsAreReadFromAnEnginesReport, which failed: its report had an entry with a malformed id, for which the function throws by its contract; such reports are now checked to throw.

--- a/Libraries/LibForward/ConfigurationLoader.cpp
+++ b/Libraries/LibForward/ConfigurationLoader.cpp
@@ -1,5 +1,7 @@
 #include "lavenderpick/Forward/ConfigurationLoader.h"
 
+#include "lavenderpick/Forward/StorePosition.h"
+
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Base/Json.h"
 #include "lavenderpick/Forward/JsonSplitter.h"
@@ -121,6 +123,15 @@
     return m_inForce ? m_inForce->number : 0;
 }
 
+bool ConfigurationLoader::isOlderCopy(const Revision &revision) const
+{
+    if (!m_inForce || revision.configuration->version() >= m_inForce->configuration->version())
+        return false;
+    return m_keepsNewerVersion
+            || StorePosition::fromNumber(revision.number).era
+            > StorePosition::fromNumber(m_inForce->number).era;
+}
+
 std::optional<ConfigurationLoader::Result> ConfigurationLoader::step()
 {
     if (m_retired) {
@@ -139,6 +150,13 @@
         if (!processSlice(*m_processing))
             return std::nullopt;
         result.configuration = m_processing->configuration;
+        m_keepsNewerVersion = isOlderCopy(*m_processing);
+        if (m_keepsNewerVersion) {
+            // As of the newer position, so that peers with the older text don't offer it again.
+            m_inForce->number = m_processing->number;
+            result.keptVersion = m_inForce->configuration->version();
+            result.configuration = nullptr;
+        }
     } catch (const std::exception &error) {
         result.error = error.what();
         m_invalidRevision = m_processing->number;
--- a/Libraries/LibForward/UpstreamDirectory.cpp
+++ b/Libraries/LibForward/UpstreamDirectory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Lavenderpick {
 
@@ -81,25 +82,60 @@
         found->second.removalPending = true;
         return true;
     }
-    m_entries.erase(found);
+    erase(id, now);
     recordChange();
     return false;
 }
 
+void UpstreamDirectory::erase(const std::string &id, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    m_removals[id] = { .startedMs = found->second.record.startedMs, .at = now };
+    m_entries.erase(found);
+    std::erase_if(m_removals,
+                  [now](const auto &entry) { return entry.second.at + removalMemory <= now; });
+}
+
+std::optional<UpstreamRecord> UpstreamDirectory::withoutReturn(const UpstreamRecord &record,
+                                                               TimePoint now) const
+{
+    const auto removal = m_removals.find(record.id);
+    if (removal != m_removals.end() && removal->second.startedMs == record.startedMs
+        && now < removal->second.at + removalMemory)
+        return std::nullopt;
+    UpstreamRecord listed = record;
+    const auto known = m_entries.find(record.id);
+    if (known != m_entries.end() && known->second.record.startedMs == record.startedMs
+        && known->second.record.state == UpstreamState::Leaving)
+        listed.state = UpstreamState::Leaving;
+    return listed;
+}
+
 void UpstreamDirectory::replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now)
 {
+    const bool isOlderCopy = std::exchange(m_listsOlderCopy, false);
     std::set<std::string> listed;
     for (const UpstreamRecord &record : records) {
+        const auto known = isOlderCopy ? withoutReturn(record, now) : record;
+        if (!known)
+            continue;
         listed.insert(record.id);
-        put(record);
+        put(*known);
     }
     std::vector<std::string> missing;
     for (const auto &[id, entry] : m_entries) {
         if (!listed.contains(id))
             missing.push_back(id);
     }
-    for (const std::string &id : missing)
-        remove(id, now);
+    for (const std::string &id : missing) {
+        Entry &entry = m_entries.at(id);
+        if (isOlderCopy && entry.record.state == UpstreamState::Ready) {
+            entry.removalPending = true;
+            entry.removalNotBefore = now + returnTimeout;
+        } else {
+            remove(id, now);
+        }
+    }
 }
 
 void UpstreamDirectory::recordMisdirection(const std::string &id, TimePoint now)
@@ -151,12 +187,12 @@
                               now, [this](const std::string &id) { return find(id) != nullptr; }) };
     if (graceHasEnded(now, completeUpTo)) {
         for (const auto &[id, entry] : m_entries) {
-            if (entry.removalPending)
+            if (entry.removalPending && now >= entry.removalNotBefore)
                 expired.removed.push_back(id);
         }
     }
     for (const std::string &id : expired.removed)
-        m_entries.erase(id);
+        erase(id, now);
     if (!expired.removed.empty() || !expired.returned.empty())
         recordChange();
     return expired;
--- a/Libraries/LibForward/ZoneEvacuations.cpp
+++ b/Libraries/LibForward/ZoneEvacuations.cpp
@@ -1,10 +1,22 @@
 #include "lavenderpick/Forward/ZoneEvacuations.h"
 
+#include "lavenderpick/Forward/StorePosition.h"
+
 #include <algorithm>
 #include <set>
 
 namespace Lavenderpick {
 
+namespace {
+
+/// Whether the first position is of an earlier era of the store.
+bool isEarlierEra(std::int64_t earlier, std::int64_t later)
+{
+    return StorePosition::fromNumber(earlier).era < StorePosition::fromNumber(later).era;
+}
+
+} // namespace
+
 ZoneEvacuations::Result ZoneEvacuations::apply(const EvacuationUpdate &update)
 {
     Result result;
@@ -12,6 +24,8 @@
     for (const ZoneEvacuation &entry : update.zones) {
         if (isNewestListing || entry.revision > m_listedAt)
             applyEntry(entry, result);
+        else if (isEarlierEra(entry.revision, m_listedAt))
+            applyEntry(entry, result); // The listing is from a copy that may lack it.
         else if (entry.evacuated && !m_zones.contains(entry.zone))
             // The listing shows that it has ended, which the sender does not know.
             applyEntry({ .zone = entry.zone, .revision = m_listedAt }, result);
@@ -41,7 +55,11 @@
 
 void ZoneEvacuations::endMissing(const EvacuationUpdate &listing, Result &result)
 {
+    const bool beginsEra = m_listedAt > 0 && isEarlierEra(m_listedAt, *listing.listedAt);
     m_listedAt = *listing.listedAt;
+    // The store came back from an older copy, which may lack an evacuation that holds.
+    if (beginsEra)
+        return;
     std::set<std::string> listed;
     for (const ZoneEvacuation &entry : listing.zones)
         listed.insert(entry.zone);
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -331,7 +331,15 @@
 void GatewayProcess::applyConfiguration(const ConfigurationLoader::Result &result)
 {
     m_state.metrics.increment("lavenderpick_configurations_total",
-                              result.configuration ? "result=\"applied\"" : "result=\"invalid\"");
+                              result.configuration         ? "result=\"applied\""
+                                      : result.keptVersion ? "result=\"older\""
+                                                           : "result=\"invalid\"");
+    if (result.keptVersion) {
+        m_state.configurationRevision = result.revision;
+        log(LogLevel::Warning, "gateway", "configuration of an older version ignored",
+            { { "revision", result.revision }, { "kept_version", *result.keptVersion } });
+        return;
+    }
     if (!result.configuration) {
         log(LogLevel::Error, "gateway", "configuration ignored: " + result.error,
             { { "revision", result.revision } });
--- a/Tests/LibForward/TestUpstreamDirectory.cpp
+++ b/Tests/LibForward/TestUpstreamDirectory.cpp
@@ -76,6 +76,46 @@
 }
 
 // The store could not be reached while the address was given to another process.
+// Guards against requests to upstreams that have left, and a mass removal of those that are up,
+// where the store came back from an older copy.
+BOOST_AUTO_TEST_CASE(anOlderCopyOfTheStoreReturnsNoUpstreamThatLeft)
+{
+    const auto process = [](const std::string &id, std::int64_t startedMs,
+                            UpstreamState state = UpstreamState::Ready) {
+        UpstreamRecord record = upstream(id, state);
+        record.startedMs = startedMs;
+        return record;
+    };
+    UpstreamDirectory directory;
+    for (const char *id : { "gone", "leaving", "steady", "new" })
+        directory.put(process(id, 1));
+    directory.put(process("leaving", 1, UpstreamState::Leaving));
+    directory.remove("gone", start);
+    directory.recordStoreReturn();
+    const TimePoint returned = start + Seconds(10);
+    directory.replaceAll({ process("gone", 1), process("leaving", 1), process("steady", 1),
+                           process("restarted", 2) },
+                         returned);
+    BOOST_CHECK(directory.exclusion("gone") == UpstreamExclusion::NotListed);
+    BOOST_CHECK(directory.exclusion("leaving") == UpstreamExclusion::Leaving);
+    for (const char *id : { "steady", "new", "restarted" })
+        BOOST_CHECK(directory.isReady(id));
+    // It registers again in time, or is gone.
+    const TimePoint late = returned + UpstreamDirectory::returnTimeout;
+    directory.expire(late - Milliseconds(1), late);
+    BOOST_CHECK(directory.isReady("new"));
+    directory.expire(late, late);
+    BOOST_CHECK(!directory.isReady("new"));
+    // A later process has the same id, and a process that was removed writes again.
+    directory.put(process("leaving", 3));
+    directory.put(process("gone", 1));
+    BOOST_CHECK(directory.isReady("leaving"));
+    BOOST_CHECK(directory.isReady("gone"));
+    // Only the first listing is of the older copy.
+    directory.replaceAll({ process("steady", 1) }, late);
+    BOOST_CHECK_EQUAL(directory.size(), 1);
+}
+
 BOOST_AUTO_TEST_CASE(misdirectedUpstreamIsNotReadyUntilItsRecordChanges)
 {
     UpstreamDirectory directory;
--- a/Tests/LibForward/TestZoneEvacuations.cpp
+++ b/Tests/LibForward/TestZoneEvacuations.cpp
@@ -1,3 +1,4 @@
+#include "lavenderpick/Forward/StorePosition.h"
 #include "lavenderpick/Forward/ZoneEvacuations.h"
 
 #include <algorithm>
@@ -64,6 +65,29 @@
 }
 
 // Guards against log lines and datagrams for what is known already.
+// Guards against requests to an evacuated zone after the store came back from a copy that is older
+// than the evacuation.
+BOOST_AUTO_TEST_CASE(anOlderCopyOfTheStoreEndsNoEvacuation)
+{
+    const auto inEra = [](std::int64_t era, std::int64_t revision) {
+        return StorePosition { era, revision }.toNumber();
+    };
+    ZoneEvacuations present;
+    present.apply({ .zones = { began("a", inEra(1, 90)) }, .listedAt = inEra(1, 95) });
+    present.apply({ .zones = {}, .listedAt = inEra(2, 80) });
+    BOOST_CHECK(present.isEvacuated("a"));
+    // A gateway that started after the return learns of it from a peer.
+    ZoneEvacuations started;
+    started.apply({ .zones = {}, .listedAt = inEra(2, 80) });
+    started.apply({ .zones = present.entries() });
+    BOOST_CHECK(started.isEvacuated("a"));
+    // The operator's word after the return holds, with a revision that was given out before too.
+    for (ZoneEvacuations *evacuations : { &present, &started }) {
+        evacuations->apply({ .zones = { ended("a", inEra(2, 85)) } });
+        BOOST_CHECK(!evacuations->isEvacuated("a"));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(onlyNewsIsReported)
 {
     ZoneEvacuations evacuations;
--- a/Tests/PlatformAdapter/TestConfigurationLoader.cpp
+++ b/Tests/PlatformAdapter/TestConfigurationLoader.cpp
@@ -2,6 +2,7 @@
 #include "lavenderpick/Base/Base64.h"
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Forward/ConfigurationLoader.h"
+#include "lavenderpick/Forward/StorePosition.h"
 #include "platform/RecordDecoder.h"
 
 #include <boost/test/unit_test.hpp>
@@ -332,6 +333,30 @@
 }
 
 // A text decoded piece by piece could accept padding before its end.
+// Guards against an older configuration that comes into force again, since the store came back from
+// an older copy.
+BOOST_AUTO_TEST_CASE(anOlderVersionAtALaterPositionLeavesTheOneInForce)
+{
+    const std::string routes = R"(,"routes":[],"services":[]})";
+    const auto position = [](std::int64_t era, std::int64_t revision) {
+        return StorePosition { era, revision }.toNumber();
+    };
+    load(position(1, 90), R"({"version":7)" + routes);
+    for (const std::int64_t revision : { 80, 81 }) {
+        const auto result = load(position(2, revision), R"({"version":5)" + routes);
+        BOOST_CHECK(!result.configuration);
+        BOOST_CHECK(result.error.empty());
+        BOOST_CHECK(result.keptVersion == 7);
+        BOOST_CHECK_EQUAL(inForce->version(), 7);
+        BOOST_CHECK_EQUAL(loader.revision(), position(2, revision));
+        BOOST_CHECK(loader.text().find("\"version\":7") != std::string::npos);
+        BOOST_CHECK(!loader.wants(position(2, revision)));
+    }
+    BOOST_CHECK(load(position(2, 82), R"({"version":7)" + routes).configuration);
+    // Within an era the operator's last word holds.
+    BOOST_CHECK(load(position(2, 83), R"({"version":6)" + routes).configuration);
+}
+
 BOOST_AUTO_TEST_CASE(invalidTransferEncodingIsRejected)
 {
     const std::string text = makeLargeConfiguration(90).dump();
--- a/Tests/PlatformAdapter/TestRecordDecoder.cpp
+++ b/Tests/PlatformAdapter/TestRecordDecoder.cpp
@@ -275,11 +275,13 @@
 {
     const Platform::PlatformDialect dialect;
     const std::string report = R"({"active":1,"tickets":[{"id":"t1","state":"held"},)"
-                               R"({"id":"t2","state":"used"},{"id":7,"state":"used"}]})";
+                               R"({"id":"t2","state":"used"}]})";
     BOOST_CHECK(!dialect.isReservationUsed(report, "t1"));
     BOOST_CHECK(dialect.isReservationUsed(report, "t2"));
     BOOST_CHECK(!dialect.isReservationUsed(report, "t3"));
-    BOOST_CHECK_THROW(dialect.isReservationUsed(R"({"active":1})", "t1"), Error);
+    for (const char *malformed : { R"({"active":1})", R"({"tickets":[{"id":7,"state":"used"}]})",
+                                   R"({"tickets":["t1"]})", R"({"tickets":{}})" })
+        BOOST_CHECK_THROW(dialect.isReservationUsed(malformed, "t1"), Error);
     BOOST_CHECK_THROW(dialect.isReservationUsed("", "t1"), Error);
 }
 
--- a/include/lavenderpick/Forward/ConfigurationLoader.h
+++ b/include/lavenderpick/Forward/ConfigurationLoader.h
@@ -39,6 +39,8 @@
     struct Result
     {
         std::int64_t revision { 0 };
+        /// Set if a configuration of this higher version stays in force.
+        std::optional<std::int64_t> keptVersion {};
         /// Null if the text could not be decoded.
         std::shared_ptr<const ServingConfiguration> configuration {};
         std::string error {};
@@ -76,6 +78,10 @@
 private:
     struct Revision;
 
+    /// Whether the revision has an older version than the one in force, because the store came back
+    /// from an older copy in which it is the newest. Within an era the store's order decides.
+    bool isOlderCopy(const Revision &revision) const;
+
     /// Continues the revision within the limits. Returns whether it is finished.
     bool processSlice(Revision &revision);
     void decodeTransfer(Revision &revision) const;
@@ -91,6 +97,7 @@
     std::unique_ptr<Revision> m_processing;
     std::unique_ptr<Revision> m_retired; ///< Freed in a slice of its own.
     std::optional<ConfigurationSnapshot> m_waiting;
+    bool m_keepsNewerVersion { false };   ///< Until the store has that version again.
     std::int64_t m_invalidRevision { 0 }; ///< The last whose text could not be decoded.
 };
 
--- a/include/lavenderpick/Forward/UpstreamDirectory.h
+++ b/include/lavenderpick/Forward/UpstreamDirectory.h
@@ -66,6 +66,12 @@
     /// Bounds the loss if the response was wrong. Each attempt after it costs a caller one retry.
     static constexpr Duration misdirectionTimeout { Seconds(5) };
 
+    /// Upstreams that are alive write their entries again within two seconds of the store's return.
+    static constexpr Duration returnTimeout { Milliseconds(2'500) };
+
+    /// How long a removed process is remembered, longer than copies of the store are old.
+    static constexpr Duration removalMemory { Seconds(60) };
+
     /// How long delayed removals wait for news of registrations at the end of the grace period.
     static constexpr Duration newsTimeout { Milliseconds(500) };
 
@@ -80,6 +86,11 @@
     /// Applies a complete listing; upstreams missing from it are removed as by `remove`.
     void replaceAll(const std::vector<UpstreamRecord> &records, TimePoint now);
 
+    /// The store came back from an older copy, which the next listing shows. That listing returns
+    /// no process that was leaving or removed, until its entry is written again, and an upstream
+    /// that is missing from it has `returnTimeout` to register again.
+    void recordStoreReturn() { m_listsOlderCopy = true; }
+
     /// Another process answered at the upstream's address: the record is out of date. The upstream
     /// is not ready until the record changes, or for `misdirectionTimeout`.
     void recordMisdirection(const std::string &id, TimePoint now);
@@ -149,15 +160,29 @@
     {
         UpstreamRecord record;
         bool removalPending { false }; ///< Removed when the grace period ends.
+        TimePoint removalNotBefore {}; ///< Of a pending removal.
         std::optional<TimePoint> misdirectedUntil {};
     };
 
+    /// A process whose entry was removed.
+    struct Removal
+    {
+        std::int64_t startedMs { 0 };
+        TimePoint at {};
+    };
+
+    /// What a listing from an older copy says of the upstream, without what is known to be later;
+    /// empty if its process was removed.
+    std::optional<UpstreamRecord> withoutReturn(const UpstreamRecord &record, TimePoint now) const;
+    void erase(const std::string &id, TimePoint now);
     UpstreamExclusion exclusionOf(const Entry &entry) const;
     bool graceHasEnded(TimePoint now, TimePoint completeUpTo) const;
     void recordChange();
     void endMisdirections(TimePoint now);
 
     std::map<std::string, Entry> m_entries;
+    std::map<std::string, Removal> m_removals;
+    bool m_listsOlderCopy { false }; ///< The next listing.
     mutable std::map<std::string, std::vector<const UpstreamRecord *>> m_ready;
     StoreAvailability m_store;
     UpstreamNotices m_notices;
--- a/include/lavenderpick/Forward/ZoneEvacuations.h
+++ b/include/lavenderpick/Forward/ZoneEvacuations.h
@@ -36,6 +36,9 @@
 /// order. For each zone the highest revision holds. A complete listing counts as an update of each
 /// zone that it lacks, also of those that a peer reports later with an older revision.
 ///
+/// The first listing of a new era (`StorePosition`) ends no evacuation: the store came back from an
+/// older copy, in which the row may be missing until the operator writes it again.
+///
 /// Ended evacuations are kept, so that peers without access to the store learn of the end.
 class ZoneEvacuations
 {
