Store: Follow a store that comes back from an older copy

Cause: revisions were taken as rising for ever. A gateway read on from one that the store did not have, and kept the higher one after a listing.

In a new era tables are listed again, by followers over a while, each gateway registers again, and answers and reports of an earlier era change nothing.

--- a/Libraries/LibForward/FeedSchedule.cpp
+++ b/Libraries/LibForward/FeedSchedule.cpp
@@ -22,9 +22,11 @@
     // Half of the limit remains for a read that fails once and for a busy gateway.
     constexpr int maximumAgeDivisor = 2;
     constexpr int readerPollWaitDivisor = 4;
+    constexpr int relistSpreadDivisor = 4;
     FeedScheduleSettings settings;
     settings.maximumAge = limit / maximumAgeDivisor;
     settings.readerPollWait = limit / readerPollWaitDivisor;
+    settings.relistSpread = limit / relistSpreadDivisor;
     settings.alonePollWait = std::min(settings.alonePollWait, limit * 3 / 4);
     return settings;
 }
@@ -43,6 +45,7 @@
     m_readTo = std::max(m_readTo, revision);
     m_confirmedAt = std::max(m_confirmedAt, sentAt);
     m_ownConfirmedAt = sentAt;
+    m_relistAt.reset();
     // Gateways that start together learn of each other before each begins to poll. The first to
     // poll confirms the listing before the others' confirmations are too old.
     m_nextReadAt = sentAt + m_settings.maximumAge / 2;
@@ -77,8 +80,23 @@
     ++m_failures;
 }
 
+bool FeedSchedule::recordEra(std::int64_t era, TimePoint now)
+{
+    if (m_readTo == 0 || era <= StorePosition::fromNumber(m_readTo).era)
+        return false;
+    if (m_relistAt)
+        return true;
+    // Those that read for others list first, so that changes soon reach all.
+    const double share = m_role == FeedRole::Follower ? m_random.unit() : 0;
+    m_relistAt = now + std::chrono::duration_cast<Duration>(m_settings.relistSpread * share);
+    return true;
+}
+
 bool FeedSchedule::recordPeerReport(const FeedReport &report, TimePoint now)
 {
+    // What a peer read in an earlier era confirms nothing about this one.
+    if (StorePosition::fromNumber(report.readTo).era < StorePosition::fromNumber(m_readTo).era)
+        return false;
     if (report.newestChange > m_readTo) {
         recordGap(report.newestChange, now);
         return false;
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -3,6 +3,7 @@
 #include "Services/Gateway/EvacuationMessages.h"
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Base/Log.h"
+#include "lavenderpick/Forward/StorePosition.h"
 
 #include <algorithm>
 #include <csignal>
@@ -427,6 +428,18 @@
         m_peerExchange.stateChanged();
 }
 
+void GatewayProcess::storeReturned(std::int64_t formerEra, std::int64_t era)
+{
+    m_state.metrics.increment("lavenderpick_store_returns_total");
+    log(LogLevel::Warning, "gateway", "the store came back from an older copy",
+        { { "former_era", formerEra },
+          { "era", era },
+          { "former_revision", StorePosition::fromNumber(m_state.configurationRevision).revision },
+          { "configuration", m_state.configuration ? m_state.configuration->version() : 0 },
+          { "upstreams", m_state.upstreams.size() } });
+    m_state.upstreams.recordStoreReturn();
+}
+
 void GatewayProcess::gatewaysListed(const std::vector<GatewayRecord> &gateways)
 {
     m_peerExchange.setRegistered(gateways);
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -51,6 +51,7 @@
     void upstreamChanged(const UpstreamChange &change) override;
     void upstreamChangesRead(const UpstreamChangeSet &changes) override;
     void zonesEvacuated(const EvacuationUpdate &update) override;
+    void storeReturned(std::int64_t formerEra, std::int64_t era) override;
     void gatewaysListed(const std::vector<GatewayRecord> &gateways) override;
     void storeLost(const std::string &reason) override;
     void storeRegained() override;
--- a/Tests/LibForward/TestFeedSchedule.cpp
+++ b/Tests/LibForward/TestFeedSchedule.cpp
@@ -152,6 +152,55 @@
 }
 
 // While the store is away, hundreds of followers must not use up its calls, which are refused.
+// Guards against a gateway that reads on from a revision which the store has no more, or has given
+// out again, and against peers' reports of the former era that confirm what it lacks.
+BOOST_AUTO_TEST_CASE(newErasBeginWithAListing)
+{
+    const auto inEra = [](std::int64_t era, std::int64_t revision) {
+        return StorePosition { era, revision }.toNumber();
+    };
+    BOOST_CHECK(!schedule.recordEra(1, now())); // Nothing was listed yet.
+    schedule.recordListing(inEra(1, 900), now());
+    BOOST_CHECK(!schedule.recordEra(1, now()));
+    for (const FeedRole role : { FeedRole::Follower, FeedRole::Reader }) {
+        FeedSchedule other = schedule;
+        other.setRole(role);
+        BOOST_CHECK(other.recordEra(2, now()));
+        BOOST_CHECK_EQUAL(other.isRelistingDue(now()), role == FeedRole::Reader);
+        BOOST_CHECK(other.isRelistingDue(now() + settings.relistSpread));
+        other.recordListing(inEra(2, 850), now());
+        BOOST_CHECK(!other.recordEra(2, now()));
+        BOOST_CHECK(!other.isRelistingDue(now() + settings.relistSpread));
+        BOOST_CHECK_EQUAL(other.readTo(), inEra(2, 850));
+        const FeedReport former { .newestChange = inEra(1, 900), .readTo = inEra(1, 900) };
+        BOOST_CHECK(!other.recordPeerReport(former, now()));
+        const FeedReport current { .newestChange = inEra(2, 840), .readTo = inEra(2, 860) };
+        BOOST_CHECK(other.recordPeerReport(current, now()));
+        BOOST_CHECK_EQUAL(other.readTo(), inEra(2, 860));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(positionsAreOrderedByEraFirst)
+{
+    const std::vector<StorePosition> ascending {
+        {},
+        { 0, 5 },
+        { 0, StorePosition::highestRevision },
+        { 1, 0 },
+        { 1, 7 },
+        { 2, 6 },
+        { StorePosition::highestEra, StorePosition::highestRevision },
+    };
+    for (std::size_t index = 0; index < ascending.size(); ++index) {
+        const std::int64_t number = ascending[index].toNumber();
+        BOOST_CHECK(StorePosition::fromNumber(number) == ascending[index]);
+        if (index > 0)
+            BOOST_CHECK_GT(number, ascending[index - 1].toNumber());
+    }
+    BOOST_CHECK_EQUAL((StorePosition { 0, 5 }.toNumber()), 5);
+    BOOST_CHECK((StorePosition::fromNumber(-1) == StorePosition {}));
+}
+
 BOOST_AUTO_TEST_CASE(followerRetriesRarely)
 {
     schedule.setRole(FeedRole::Follower);
--- a/Tests/PlatformAdapter/TestStoreSource.cpp
+++ b/Tests/PlatformAdapter/TestStoreSource.cpp
@@ -1,6 +1,7 @@
 #include "GeneratedConfiguration.h"
 #include "Tests/ServiceGateway/ScriptedUpstream.h"
 #include "lavenderpick/Base/Base64.h"
+#include "lavenderpick/Forward/StorePosition.h"
 #include "platform/StoreSource.h"
 
 #include <boost/test/unit_test.hpp>
@@ -22,6 +23,7 @@
     std::vector<UpstreamChangeSet> changesRead;
     std::vector<EvacuationUpdate> evacuations;
     std::vector<GatewayRecord> gateways;
+    std::vector<std::pair<std::int64_t, std::int64_t>> returns; ///< Former and new eras.
     int lost { 0 };
     int regained { 0 };
     int failed { 0 };
@@ -44,6 +46,10 @@
         changesRead.push_back(changeSet);
     }
     void zonesEvacuated(const EvacuationUpdate &update) override { evacuations.push_back(update); }
+    void storeReturned(std::int64_t formerEra, std::int64_t era) override
+    {
+        returns.emplace_back(formerEra, era);
+    }
     void gatewaysListed(const std::vector<GatewayRecord> &records) override { gateways = records; }
     void storeLost(const std::string &) override { ++lost; }
     void storeRegained() override { ++regained; }
@@ -86,6 +92,21 @@
         completePoll(table, row);
     }
 
+    /// The store is as it was when `copy` was made, and in the next era.
+    struct Copy
+    {
+        std::map<std::string, std::map<std::string, nlohmann::json>> rows;
+        std::int64_t revision { 0 };
+    };
+    Copy copy() const { return { .rows = m_rows, .revision = revision }; }
+    void comeBackFrom(const Copy &copy)
+    {
+        m_rows = copy.rows;
+        revision = copy.revision;
+        m_history.clear();
+        era = era.value_or(0) + 1;
+    }
+
     void setStatus(int status) { m_status = status; }
     void dropHistory() { m_historyGone = true; }
     /// Listings return so many rows at a time; `betweenPages` runs after each page but the last.
@@ -101,6 +122,8 @@
     void setEndless(bool endless) { m_endless = endless; }
 
     std::int64_t revision { 10 };
+    std::optional<int> era {}; ///< Named in all responses, if set.
+    int historyGone { 0 };     ///< Responses with status 410.
     int calls { 0 };
     int writes { 0 };
     int listings { 0 };
@@ -120,7 +143,8 @@
     {
         const std::string text = body.dump();
         peer->write("HTTP/1.1 " + std::to_string(status)
-                    + " X\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
+                    + (era ? " X\r\nStore-Era: " + std::to_string(*era) : " X")
+                    + "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text);
     }
 
     nlohmann::json rowsResponse(const nlohmann::json &records) const
@@ -169,6 +193,9 @@
             respond(peer, 200, response);
             if (hasMore && m_betweenPages)
                 m_betweenPages();
+        } else if (std::stoll(parameter(target, "afterRev")) > revision) {
+            ++historyGone;
+            respond(peer, 410, nlohmann::json::object());
         } else if (m_historyGone) {
             m_historyGone = false;
             respond(peer, 410, nlohmann::json::object());
@@ -559,6 +586,81 @@
     BOOST_CHECK_EQUAL(observer.changes.back().id, "i-1");
 }
 
+// Guards against a gateway that takes revisions as rising for ever: it read on from one that the
+// store did not have, got 410 again and again, and missed a configuration that was written next.
+BOOST_AUTO_TEST_CASE(followsAStoreThatCameBackFromAnOlderCopy)
+{
+    for (const FeedRole role : { FeedRole::Alone, FeedRole::Reader, FeedRole::Follower }) {
+        FakeStore drilled(context);
+        drilled.era = 3;
+        Platform::StoreSource gateway(context, clock, random, drilled.address(), settings);
+        RecordingObserver seen;
+        const auto pass = [&](Duration duration) {
+            for (Duration passed {}; passed < duration; passed += Milliseconds(50)) {
+                clock.advance(Milliseconds(50));
+                gateway.checkTimeouts(clock.now());
+                runUntil([] { return false; }, std::chrono::milliseconds(4));
+            }
+        };
+        drilled.put("op", "config", configurationBase64);
+        drilled.put("servers", "i-1", readyUpstreamBase64);
+        const FakeStore::Copy copy = drilled.copy();
+        gateway.start(seen, { .address = "10.0.0.5:7340", .availabilityZone = "a" });
+        gateway.setRole(role);
+        pass(Seconds(1));
+        for (int index = 0; index < 20; ++index)
+            drilled.put("servers", "i-" + std::to_string(index), readyUpstreamBase64);
+        pass(Seconds(3));
+        const int writes = drilled.writes;
+        drilled.comeBackFrom(copy);
+        drilled.setSilent(true); // Open polls are never answered.
+        pass(Seconds(1));
+        drilled.setSilent(false);
+        pass(Seconds(4));
+        BOOST_CHECK_EQUAL(seen.returns.size(), 1);
+        BOOST_CHECK((seen.returns.front() == std::pair<std::int64_t, std::int64_t>(3, 4)));
+        BOOST_CHECK_EQUAL(seen.listed.size(), 1);
+        BOOST_CHECK_LE(drilled.historyGone, 2); // One of each table.
+        BOOST_CHECK_GT(drilled.writes, writes); // It registered again.
+        drilled.put("op", "config", configurationBase64);
+        pass(Seconds(2));
+        BOOST_CHECK_EQUAL(seen.revisions.back(),
+                          (StorePosition { 4, drilled.revision }.toNumber()));
+        BOOST_CHECK_LE(drilled.historyGone, 2);
+    }
+}
+
+// Guards against a response that waited in a buffer, and against a gateway that does not read: both
+// must not hide that the store came back.
+BOOST_AUTO_TEST_CASE(learnsOfTheStoresReturnFromPeersAndIgnoresLateResponses)
+{
+    store.era = 5;
+    start();
+    source.setRole(FeedRole::Follower);
+    const std::int64_t before = source.report(clock.now()).upstreams.readTo;
+    const std::int64_t returned = StorePosition { 6, 1 }.toNumber();
+    source.peerReported({ .configuration = { .newestChange = returned, .readTo = returned },
+                          .upstreams = { .newestChange = returned, .readTo = returned } },
+                        clock.now());
+    BOOST_REQUIRE_EQUAL(observer.returns.size(), 1);
+    const int listings = store.listings;
+    for (int count = 0; count < 30; ++count) {
+        advance(Milliseconds(100));
+        runUntil([] { return false; }, std::chrono::milliseconds(4));
+    }
+    // The store's own responses are of the former era, as from a buffer.
+    BOOST_CHECK_GT(store.listings, listings);
+    BOOST_CHECK_EQUAL(source.report(clock.now()).upstreams.readTo, before);
+    store.era = 6;
+    for (int count = 0; count < 30; ++count) {
+        advance(Milliseconds(100));
+        runUntil([] { return false; }, std::chrono::milliseconds(4));
+    }
+    BOOST_CHECK_EQUAL(StorePosition::fromNumber(source.report(clock.now()).upstreams.readTo).era,
+                      6);
+    BOOST_CHECK_EQUAL(observer.returns.size(), 1);
+}
+
 BOOST_AUTO_TEST_CASE(reportsStoreLostAndRegained)
 {
     start();
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -11,13 +11,14 @@
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
+    extra_fields = {}  # Sent with the next answer.
 
     def log_message(self, *arguments):
         pass
 
     def respond(self, status, body=b"", headers=None):
         self.send_response(status)
-        for name, value in (headers or {}).items():
+        for name, value in {**self.extra_fields, **(headers or {})}.items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -58,7 +59,8 @@
 
 
 class Store(StandIn):
-    """Rows with revisions and polls for changes. `refusing` answers every call with 503."""
+    """Rows with revisions and polls for changes. `refusing` answers every call with 503. After `come_back` the rows and
+    the revision are those of an older copy, and `era`, which all answers name, is one higher."""
 
     def __init__(self):
         self.condition = threading.Condition()
@@ -66,8 +68,21 @@
         self.changes = []
         self.revision = 1
         self.refusing = False
+        self.era = 1
+        self.history_gone = 0  # Answers with status 410.
         super().__init__()
 
+    def copy(self):
+        with self.condition:
+            return dict(self.rows), list(self.changes), self.revision
+
+    def come_back(self, copy):
+        with self.condition:
+            rows, changes, self.revision = copy
+            self.rows, self.changes = dict(rows), list(changes)
+            self.era += 1
+            self.condition.notify_all()
+
     def put(self, table, key, value):
         with self.condition:
             self.revision += 1
@@ -96,6 +111,7 @@
         url = urllib.parse.urlsplit(handler.path)
         query = {name: values[0] for name, values in urllib.parse.parse_qs(url.query).items()}
         body = handler.read_body()
+        handler.extra_fields = {"Store-Era": str(self.era)}
         if self.refusing:
             handler.respond_json(503, {})
         elif url.path == "/rows-tx":
@@ -112,6 +128,11 @@
 
     def poll(self, handler, query):
         after = int(query["afterRev"])
+        with self.condition:
+            if after > self.revision:
+                self.history_gone += 1
+                handler.respond_json(410, {})
+                return
         end = time.monotonic() + int(query["waitMs"]) / 1000
 
         def records():
@@ -120,6 +141,7 @@
         with self.condition:
             while not records() and time.monotonic() < end and not self.refusing:
                 self.condition.wait(0.05)
+            handler.extra_fields = {"Store-Era": str(self.era)}
             answer = {"records": records(), "revision": self.revision, "nowMs": 0}
         handler.respond_json(200, answer)
 
--- a/include/lavenderpick/Forward/ControlPlaneSource.h
+++ b/include/lavenderpick/Forward/ControlPlaneSource.h
@@ -69,6 +69,9 @@
     /// Reports evacuations of availability zones, and their ends.
     virtual void zonesEvacuated(const EvacuationUpdate &update) = 0;
 
+    /// The store came back from an older copy. Called before what it holds now is reported.
+    virtual void storeReturned(std::int64_t formerEra, std::int64_t era) = 0;
+
     /// Reports all registered gateways.
     virtual void gatewaysListed(const std::vector<GatewayRecord> &gateways) = 0;
 
--- a/include/lavenderpick/Forward/FeedSchedule.h
+++ b/include/lavenderpick/Forward/FeedSchedule.h
@@ -2,6 +2,7 @@
 
 #include "lavenderpick/Base/Clock.h"
 #include "lavenderpick/Base/Random.h"
+#include "lavenderpick/Forward/StorePosition.h"
 
 #include <cstdint>
 #include <optional>
@@ -9,11 +10,12 @@
 
 namespace Lavenderpick {
 
-/// What a gateway knows of one table of the store, from its own reads.
+/// What a gateway knows of one table of the store, from its own reads. Positions are numbers of
+/// `StorePosition`.
 struct FeedReport
 {
-    std::int64_t newestChange { 0 }; ///< Revision of the newest change that it applied.
-    std::int64_t readTo { 0 };       ///< Revision up to which it applied every change.
+    std::int64_t newestChange { 0 }; ///< Position of the newest change that it applied.
+    std::int64_t readTo { 0 };       ///< Position up to which it applied every change.
     Duration age {};                 ///< Since the store confirmed `readTo`.
 
     bool operator==(const FeedReport &) const = default;
@@ -41,6 +43,9 @@
     /// Time from the start of a read that returned changes to the next read. Many upstreams change
     /// at about the same time, and each of their changes would complete a long poll of its own.
     Duration changeSpacing { Milliseconds(150) };
+    /// Gateways that learn at the same time that the store came back from an older copy list the
+    /// table within this time.
+    Duration relistSpread { Milliseconds(1'000) };
     /// Gateways that hear of a change at the same time read it within this time.
     Duration catchUpSpread { Milliseconds(150) };
     /// A follower retries after `maximumAge` instead.
@@ -76,6 +81,13 @@
 
     void recordFailure(TimePoint now);
 
+    /// The store is in this era now. If what was read is of an earlier one, schedules a listing and
+    /// returns true.
+    bool recordEra(std::int64_t era, TimePoint now);
+
+    /// Whether the table has to be listed, since what was read is of an earlier era.
+    bool isRelistingDue(TimePoint now) const { return m_relistAt && now >= *m_relistAt; }
+
     /// Records the report of a peer. Returns whether it confirms that this gateway lacks no change.
     bool recordPeerReport(const FeedReport &report, TimePoint now);
 
@@ -125,6 +137,7 @@
     TimePoint m_ownConfirmedAt {}; ///< By an own read.
     TimePoint m_nextReadAt {};
     std::optional<Gap> m_gap;
+    std::optional<TimePoint> m_relistAt;
     TimePoint m_retryAt {};
     int m_failures { 0 };
 };
