--- a/Libraries/LibBase/BoundedLineSink.cpp
+++ b/Libraries/LibBase/BoundedLineSink.cpp
@@ -1,6 +1,7 @@
 #include "BoundedLineSink.h"
 
 #include <algorithm>
+#include <boost/log/attributes/value_extraction.hpp>
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -14,13 +15,13 @@
         ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-bool BoundedLineSink::takeFromBudget()
+bool BoundedLineSink::takeFromBudget(bool isUrgent)
 {
     const auto now = std::chrono::steady_clock::now();
     const double elapsed = std::chrono::duration<double>(now - m_refilledAt).count();
     m_refilledAt = now;
     m_budget = std::min(linesPerSecond, m_budget + elapsed * linesPerSecond);
-    if (m_budget < 1)
+    if (m_budget < (isUrgent ? 1 : 1 + reservedLines))
         return false;
     m_budget -= 1;
     return true;
@@ -32,9 +33,10 @@
     return ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
 }
 
-void BoundedLineSink::consume(const boost::log::record_view &, const std::string &line)
+void BoundedLineSink::consume(const boost::log::record_view &record, const std::string &line)
 {
-    if (!takeFromBudget()) {
+    const auto level = boost::log::extract<LogLevel>("Severity", record);
+    if (!takeFromBudget(level && *level >= LogLevel::Warning)) {
         ++m_dropped;
         return;
     }
--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -9,8 +9,8 @@
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <chrono>
@@ -85,8 +85,8 @@
     line["process"] = processName();
     line["component"] = component;
     line["message"] = message;
-    static boost::log::sources::logger_mt logger;
-    BOOST_LOG(logger) << toJsonText(line);
+    static boost::log::sources::severity_logger_mt<LogLevel> logger;
+    BOOST_LOG_SEV(logger, level) << toJsonText(line);
 }
 
 } // namespace Lavenderpick
