--- a/Libraries/LibForward/ZoneEvacuations.cpp
+++ b/Libraries/LibForward/ZoneEvacuations.cpp
@@ -22,10 +22,10 @@
     Result result;
     const bool isNewestListing = update.listedAt && *update.listedAt >= m_listedAt;
     for (const ZoneEvacuation &entry : update.zones) {
-        if (isNewestListing || entry.revision > m_listedAt)
+        // A listing of a later era is from a copy that may lack the entry.
+        if (isNewestListing || entry.revision > m_listedAt
+            || isEarlierEra(entry.revision, m_listedAt))
             applyEntry(entry, result);
-        else if (isEarlierEra(entry.revision, m_listedAt))
-            applyEntry(entry, result); // The listing is from a copy that may lack it.
         else if (entry.evacuated && !m_zones.contains(entry.zone))
             // The listing shows that it has ended, which the sender does not know.
             applyEntry({ .zone = entry.zone, .revision = m_listedAt }, result);
