--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -62,7 +62,7 @@
     git clone -q . "$clone"
     line=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
     (cd "$clone" && bash -c "$line" >/dev/null)
-    python3 Tests/Processes/GatewayTest.py "$clone/target" 2>&1 | tail -n 4
+    python3 Tests/Processes/GatewayTest.py "$clone/target" 2>&1 | tail -n 40
 }
 
 Meta/install-dependencies.sh
