--- a/include/lavenderpick/Forward/ResponseAssessment.h
+++ b/include/lavenderpick/Forward/ResponseAssessment.h
@@ -2,7 +2,6 @@
 
 #include "lavenderpick/Forward/RequestDialect.h"
 
-#include <optional>
 #include <string>
 
 namespace Lavenderpick {
