--- a/Meta/check-boundary.sh
+++ b/Meta/check-boundary.sh
@@ -9,7 +9,7 @@
     X-Model-Name Server-Limit X-Weight-Versions Api-Key rows-tx rows-get rows-feed rows-parts blob-put blob-get
     coldLeftMs routeKind trafficSplit routeWeight sloMs gapTargetMs maxAttempts apiKeys engineParams kvTokens
     tokenStride kvUsed holdMs queueWait tokenCount afterRev waitMs pageLimit setKeys nodeName internalPorts
-    coldS coldPerS coldExcess coldSlack seedNodes LAVENDERPICK_NODE_FILE configApplyMs drainMs evacuateMs graceS retrySlack
+    coldS coldPerS coldExcess coldSlack seedNodes LAVENDERPICK_NODE_FILE configApplyMs drainMs evacuateMs idleMaxMs graceS retrySlack
     fleetbench
 )
 pattern=$(IFS='|'; echo "${names[*]}")
--- a/Services/Gateway/Exchange.cpp
+++ b/Services/Gateway/Exchange.cpp
@@ -633,6 +633,8 @@
     if (m_assessment.verdict == ResponseVerdict::Unattributed
         || m_assessment.verdict == ResponseVerdict::Unusable)
         failUnforwarded();
+    else if (m_reserver && !isStream() && m_assessment.verdict == ResponseVerdict::Success)
+        m_reserver->recordUse();
 }
 
 void Exchange::recordRateLimit(const ResponseHead &head)
@@ -710,6 +712,8 @@
     m_state.stalledStreams.recordEvent(m_decision.upstream, m_streamId, m_lastEventAt);
     if (!m_firstEventSeen) {
         m_firstEventSeen = true;
+        if (m_reserver)
+            m_reserver->recordUse();
         if (m_placement)
             m_state.markPrefilled(*m_placement);
         m_state.metrics.observe("lavenderpick_first_event_error_ms", "",
@@ -1058,6 +1062,8 @@
     const auto self = shared_from_this();
     if (m_done)
         return;
+    if (endUnusedReservation(now))
+        return;
     if (m_reserver)
         m_reserver->checkTimeouts(now);
     // An unanswered reservation must not keep the others' memory for a placement that is lost.
@@ -1081,6 +1087,17 @@
     retryStalledStream(now);
 }
 
+// Ends an attempt whose engine has not begun with the request for so long that the memory reserved
+// for it elsewhere must be free again. The request can't run there without it.
+bool Exchange::endUnusedReservation(TimePoint now)
+{
+    if (!m_reserver || !m_connection || !m_reserver->isUnusedForTooLong(now))
+        return false;
+    m_state.outliers.recordFailure(m_decision.upstream, now);
+    failAttempt(AttemptOutcome::Failed, "reserved_memory_unused");
+    return true;
+}
+
 void Exchange::retryStalledStream(TimePoint now)
 {
     if (m_done || !m_connection || !isStream()
--- a/Services/Gateway/Exchange.h
+++ b/Services/Gateway/Exchange.h
@@ -110,6 +110,7 @@
     void recordCompletedPrompt();
     Duration silenceTimeout() const;
     void retryStalledStream(TimePoint now);
+    bool endUnusedReservation(TimePoint now);
     void forwardBufferedFailure();
 
     void refuse(int status, RefusalReason reason, const std::string &message,
--- a/Services/Gateway/GatewaySettings.cpp
+++ b/Services/Gateway/GatewaySettings.cpp
@@ -40,6 +40,9 @@
         .engineSpeed = engines.choice("speed", { "published", "learned" }, "published") == "learned"
                 ? EngineSpeedSource::Learned
                 : EngineSpeedSource::Published,
+        .unusedReservationLimit =
+                engines.duration("unused_reservation_limit", { Seconds(2), Seconds(600) },
+                                 defaults.unusedReservationLimit),
         .promptRetention = engines.duration("prompt_retention", { Duration {}, Seconds(86'400) },
                                             defaults.promptRetention),
         .logLevel = parseLogLevel(
--- a/Services/Gateway/GatewaySettings.h
+++ b/Services/Gateway/GatewaySettings.h
@@ -39,6 +39,8 @@
     WindowedRetryBudgetSettings retryBudget {};
     QueueOrder queueOrder { QueueOrder::EarliestStart };
     EngineSpeedSource engineSpeed { EngineSpeedSource::Published };
+    /// Time within which memory that is reserved at an engine must be used or released.
+    Duration unusedReservationLimit { Seconds(9) };
     Duration promptRetention {}; ///< How long engines may hold prompts; zero if they don't.
     LogLevel logLevel { LogLevel::Info };
 
--- a/Services/Gateway/MemoryReserver.cpp
+++ b/Services/Gateway/MemoryReserver.cpp
@@ -1,5 +1,6 @@
 #include "Services/Gateway/MemoryReserver.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Lavenderpick {
@@ -16,7 +17,8 @@
     const auto keepAlive = shared_from_this();
     m_finished = std::move(finished);
     m_pendingAnswers = reservations.size();
-    m_renewAt = m_state.clock.now() + renewalInterval;
+    m_reservedAt = m_state.clock.now();
+    m_renewAt = m_reservedAt + renewalInterval;
     for (const MemoryReservation &reservation : reservations) {
         const UpstreamRecord *record = m_state.upstreams.find(reservation.upstream);
         if (record == nullptr) {
@@ -38,7 +40,7 @@
     // The answer may come after the request has ended and dropped this object.
     m_state.engineCalls.send(
             upstream, reservation.address,
-            m_state.dialect.reserveMemory(reservation.id, reservation.tokens, reservationLifetime),
+            m_state.dialect.reserveMemory(reservation.id, reservation.tokens, lifetime()),
             [weak = weak_from_this(), &state = m_state, upstream, reservation](bool accepted) {
                 if (const auto self = weak.lock())
                     self->recordAnswer(upstream, reservation, accepted);
@@ -83,6 +85,21 @@
     return found == m_reservations.end() ? std::string() : found->second.id;
 }
 
+bool MemoryReserver::isUnusedForTooLong(TimePoint now) const
+{
+    return !m_used && now - m_reservedAt >= m_state.settings.unusedReservationLimit - unusedMargin;
+}
+
+Duration MemoryReserver::lifetime() const
+{
+    if (m_used)
+        return reservationLifetime;
+    const TimePoint latestEnd =
+            m_reservedAt + m_state.settings.unusedReservationLimit - expiryMargin;
+    return std::clamp<Duration>(latestEnd - m_state.clock.now(), Milliseconds(1),
+                                reservationLifetime);
+}
+
 void MemoryReserver::checkTimeouts(TimePoint now)
 {
     if (m_pendingAnswers > 0 || now < m_renewAt)
--- a/Services/Gateway/MemoryReserver.h
+++ b/Services/Gateway/MemoryReserver.h
@@ -14,7 +14,8 @@
 /// the reservations while the request runs, and releases them.
 ///
 /// A reservation expires after `reservationLifetime`, so that its memory is soon free again when
-/// this process dies or the engine can't be reached.
+/// this process dies or the engine can't be reached. Until the request uses the memory, no renewal
+/// extends a reservation to the limit of `GatewaySettings::unusedReservationLimit`.
 class MemoryReserver : public std::enable_shared_from_this<MemoryReserver>
 {
 public:
@@ -22,6 +23,11 @@
     /// earlier.
     static constexpr Duration reservationLifetime { Milliseconds(3'000) };
     static constexpr Duration renewalInterval { Milliseconds(1'000) };
+    /// How long before the limit a request that does not use its memory loses it. A renewal after a
+    /// late first event must still arrive, and a release after that time takes a round trip.
+    static constexpr Duration unusedMargin { Milliseconds(1'000) };
+    /// Until a reservation that is not used ends by itself, if its release is lost.
+    static constexpr Duration expiryMargin { Milliseconds(500) };
 
     using FinishedCallback = std::function<void(bool reserved)>;
 
@@ -34,6 +40,12 @@
     /// The id of the reservation at the upstream; empty if there is none.
     std::string reservationId(const std::string &upstream) const;
 
+    /// The request has begun to use the memory.
+    void recordUse() { m_used = true; }
+
+    /// Whether the request has not used the memory for so long that it must be released.
+    bool isUnusedForTooLong(TimePoint now) const;
+
     /// Renews due reservations.
     void checkTimeouts(TimePoint now);
 
@@ -49,6 +61,8 @@
         std::string id;
     };
 
+    /// How long a reservation that is made or renewed now may last.
+    Duration lifetime() const;
     void send(const std::string &upstream, const ActiveReservation &reservation);
     void recordAnswer(const std::string &upstream, const ActiveReservation &reservation,
                       bool accepted);
@@ -61,7 +75,9 @@
     std::map<std::string, ActiveReservation> m_reservations; ///< By upstream.
     FinishedCallback m_finished;
     std::size_t m_pendingAnswers { 0 };
+    TimePoint m_reservedAt {};
     TimePoint m_renewAt {};
+    bool m_used { false };
 };
 
 } // namespace Lavenderpick
--- a/Tests/Processes/EvacuationTest.py
+++ b/Tests/Processes/EvacuationTest.py
@@ -152,14 +152,15 @@
         with open(os.path.join(SOURCE, "deploy", "gateway.yaml.template")) as file:
             template = file.read()
         values = {"bounds.configApplyMs": 4000, "bounds.drainMs": 3000, "bounds.evacuateMs": 5000, "bounds.graceS": 8,
+                  "bounds.idleMaxMs": 9000,
                   "limits.memoryMb": 160, "bounds.retryRatio": 0.2, "bounds.retrySlack": 100, "bounds.retryWindowS": 10,
                   "nodeName": '"n"', "zone": '"a"', "listen.front": '"127.0.0.1:1"', "listen.ready": '"127.0.0.1:2"',
                   "ipAddr": "127.0.0.1", "internalPorts.0": 3, "platform.address": '"127.0.0.1:4"', "seedNodes": "[]"}
         for given in (True, False):
-            text = re.sub(r"\{\{#bounds\.evacuateMs\}\}(.*?)\{\{/bounds\.evacuateMs\}\}", r"\1" if given else "", template,
-                          flags=re.DOTALL)
+            text = re.sub(r"\{\{#(bounds\.\w+)\}\}(.*?)\{\{/\1\}\}", r"\2" if given else "", template, flags=re.DOTALL)
             text = re.sub(r"\{\{([^}|]+)(\|json)?\}\}", lambda match: str(values[match.group(1)]), text)
             self.assertEqual("evacuation_limit: 5000 ms" in text, given)
+            self.assertEqual("unused_reservation_limit: 9000 ms" in text, given)
             path = os.path.join(self.folder.name, "rendered.yaml")
             with open(path, "w") as file:
                 file.write(text)
--- a/Tests/ServiceGateway/GatewayFixture.cpp
+++ b/Tests/ServiceGateway/GatewayFixture.cpp
@@ -64,11 +64,11 @@
 }
 
 EngineCall TestDialect::reserveMemory(const std::string &reservation, std::int64_t tokens,
-                                      Duration) const
+                                      Duration hold) const
 {
     return { .method = "POST",
              .target = "/reserve/" + reservation,
-             .body = std::to_string(tokens) };
+             .body = std::to_string(tokens) + " " + std::to_string(toMilliseconds(hold)) };
 }
 
 EngineCall TestDialect::releaseMemory(const std::string &reservation) const
--- a/Tests/ServiceGateway/TestMemoryReserver.cpp
+++ b/Tests/ServiceGateway/TestMemoryReserver.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace Lavenderpick;
 
@@ -43,6 +44,59 @@
                     "engines");
     }
 
+    /// Engines that accept all reservations and hang on requests.
+    struct HangingEngines
+    {
+        bool hang { true };
+        bool beginBeforeHanging { false };
+        int requests { 0 };
+        TimePoint latestEnd {}; ///< Until which an accepted reservation holds.
+        std::multiset<std::string> released;
+    };
+
+    void setTimeouts(Duration timeout)
+    {
+        ServingConfigurationParts parts = makeConfiguration();
+        for (Route &route : parts.routes) {
+            route.timeout = timeout;
+            // Callers wait four times as long for the first event.
+            route.objective = Seconds(6);
+        }
+        state.configuration = std::make_shared<ServingConfiguration>(parts);
+    }
+
+    std::shared_ptr<HangingEngines> addHangingEngines(int count)
+    {
+        const auto hanging = std::make_shared<HangingEngines>();
+        for (int number = 1; number <= count; ++number)
+            addUpstream(
+                    "e" + std::to_string(number),
+                    [this, hanging](const ReceivedRequest &request, const Peer &peer) {
+                        const std::string &target = request.head.target;
+                        if (target.starts_with("/reserve")) {
+                            const auto hold = Milliseconds(
+                                    std::stoll(request.body.substr(request.body.find(' '))));
+                            hanging->latestEnd = std::max(hanging->latestEnd, clock.now() + hold);
+                            answer(peer, "200 OK");
+                        } else if (target.starts_with("/release")) {
+                            hanging->released.insert(target);
+                            answer(peer, "200 OK");
+                        } else {
+                            ++hanging->requests;
+                            if (!hanging->hang || hanging->beginBeforeHanging)
+                                peer->write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nProof: p\r\n"
+                                            "Transfer-Encoding: chunked\r\n\r\n"
+                                            "f\r\nid: 1\ndata: x\n\n\r\n");
+                            if (!hanging->hang)
+                                peer->write(std::string(lastChunk));
+                        }
+                    },
+                    "engines");
+        return hanging;
+    }
+
+    const TimePoint start { clock.now() };
+
     static void answer(const Peer &peer, const std::string &status)
     {
         peer->write("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n");
@@ -98,4 +152,54 @@
     BOOST_CHECK_EQUAL(view->status, 503);
 }
 
+// Guards against memory that stays reserved until the deadline of a request that its engine never
+// begins, although other engines could run it.
+BOOST_AUTO_TEST_CASE(unusedMemoryIsReleasedAndTheRequestGoesToAnotherEngine)
+{
+    setTimeouts(Seconds(20));
+    const std::shared_ptr<HangingEngines> hanging = addHangingEngines(3);
+    const auto view = send("/stream/", "r1", "Tokens: 12000\r\n");
+    BOOST_REQUIRE(runUntil([&] { return hanging->requests == 1; }));
+    while (clock.now() - start < Milliseconds(7'900))
+        advance(Milliseconds(100));
+    BOOST_CHECK_EQUAL(hanging->requests, 1);
+    // No renewal may keep the memory for longer than the limit, even if its release is lost.
+    BOOST_CHECK(hanging->latestEnd <= start + Seconds(9));
+    hanging->hang = false;
+    advance(Milliseconds(100));
+    BOOST_REQUIRE(runUntil([&] { return view->isDone(); }));
+    BOOST_CHECK_EQUAL(hanging->released.count("/release/r1-0-0"), 1);
+    BOOST_CHECK_EQUAL(view->status, 200);
+    BOOST_CHECK_EQUAL(hanging->requests, 2);
+}
+
+// Guards against a request that keeps its caller waiting although its memory is gone.
+BOOST_AUTO_TEST_CASE(requestWithUnusedMemoryThatMayNotRepeatFails)
+{
+    setTimeouts(Seconds(20));
+    const std::shared_ptr<HangingEngines> hanging = addHangingEngines(3);
+    const auto view = send("/fixed-stream/", "r1", "Tokens: 12000\r\n");
+    BOOST_REQUIRE(runUntil([&] { return hanging->requests == 1; }));
+    while (clock.now() - start < Seconds(8))
+        advance(Milliseconds(100));
+    BOOST_REQUIRE(runUntil([&] { return view->isDone(); }));
+    BOOST_CHECK_EQUAL(view->status, 502);
+    BOOST_CHECK_EQUAL(hanging->requests, 1);
+}
+
+// Guards against an end of streams that run longer than memory may stay unused.
+BOOST_AUTO_TEST_CASE(usedMemoryStaysReserved)
+{
+    setTimeouts(Seconds(60));
+    const std::shared_ptr<HangingEngines> hanging = addHangingEngines(3);
+    hanging->beginBeforeHanging = true;
+    const auto view = send("/stream/", "r1", "Tokens: 12000\r\n");
+    BOOST_REQUIRE(runUntil([&] { return !view->body.empty(); }));
+    while (clock.now() - start < Seconds(30))
+        advance(Milliseconds(500));
+    BOOST_CHECK(!view->isDone());
+    BOOST_CHECK(hanging->released.empty());
+    BOOST_CHECK(hanging->latestEnd >= clock.now());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
