--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-python3 - review/stand_ins_3/*.py review/1[1-5]/*.py <<'PYTHON'
+python3 - review/stand_ins_3/*.py review/trials-3/*.py review/1[1-5]/*.py <<'PYTHON'
 import ast
 import asyncio
 import sys
--- a/review/stand_ins_3/users_platform.py
+++ b/review/stand_ins_3/users_platform.py
@@ -120,6 +120,7 @@
     def __init__(self):
         super().__init__()
         self.rows, self.changes, self.revision = {}, [], 1
+        self.era = 1
         self.changed = asyncio.Condition()
 
     async def put(self, table, key, value):
@@ -156,11 +157,14 @@
         elif path == "/rows-get":
             result["records"], result["hasMore"] = self.page(query["table"], query["part"],
                                                                   query.get("from", ""))
+        elif path == "/rows-feed" and int(query["afterRev"]) > self.revision:
+            writer.write(message("HTTP/1.1 410 Gone", {"Store-Era": self.era}))
+            return True
         elif path == "/rows-feed":
             result = await self.feed(query["table"], int(query["afterRev"]), int(query["waitMs"]) / 1000)
         else:
             return False
-        writer.write(message("HTTP/1.1 200 OK", {"Content-Type": "application/json", "Store-Era": 1},
+        writer.write(message("HTTP/1.1 200 OK", {"Content-Type": "application/json", "Store-Era": self.era},
                              json.dumps(result).encode()))
         await writer.drain()
         return True
@@ -177,6 +181,15 @@
             rows.append(row)
         return rows, False
 
+    def copy(self):
+        """What the store holds now, for `come_back`."""
+        return dict(self.rows), list(self.changes), self.revision
+
+    def come_back(self, copy):
+        """The store is that of an older copy, and its era rises by one."""
+        self.rows, self.changes, self.revision = dict(copy[0]), list(copy[1]), copy[2]
+        self.era += 1
+
     async def feed(self, table, after, wait_s):
         end = time.monotonic() + wait_s
         while True:
@@ -195,7 +208,7 @@
     """A runner of one service: calls and streams of events, `capacity` at once and `queue` more waiting.
 
     A prompt with the part `fatal_part` crashes it when it begins to write: all its channels are reset, and it starts
-    again `down_s` later."""
+    again `down_s` later. Where `loses(identifier)` holds, the request runs and its channel is reset."""
 
     def __init__(self, record, store, name, service, zone="enna-a", capacity=16, queue=32, work_s=0.05, events=5,
                  gap_s=0.12, down_s=3.0, fatal_part=None, keeps_id=False):
@@ -205,6 +218,7 @@
         self.gap_s = gap_s  # Between the events of a stream; `work_s` passes before the first one.
         self.fatal_part, self.keeps_id = fatal_part, keeps_id
         self.lives = 0
+        self.loses = lambda identifier: False
         self.limit = None        # Requests a second that the runner names in its answers, while it is in need.
         self.retry_after = None  # Seconds for which the runner wants nothing, while it turns requests away with 503.
         self.arrived, self.ran, self.crashes, self.cut = [], [], [], []
@@ -305,6 +319,9 @@
                 if life != self.lives or identifier not in self.running:
                     return False
                 self.ran.append(identifier)
+                if self.loses(identifier):
+                    self.reset(writer)
+                    return False
                 writer.write(message("HTTP/1.1 200 OK", {**common, "X-Server-Seal": f"seal.{self.id}"},
                                      b"done by " + self.id.encode()))
                 await writer.drain()
@@ -322,6 +339,9 @@
         if self.fatal_part in parts[:-1]:
             self.crash()
             return False
+        if self.loses(identifier):
+            self.reset(writer)
+            return False
         headers = {**common, "X-Server-Seal": f"seal.{self.id}", "Content-Type": "text/event-stream",
                    "Transfer-Encoding": "chunked", "X-Weight-Versions": 1}
         head = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers.items())]
@@ -338,7 +358,7 @@
         return True
 
 
-def configuration(version=1, tenants=1):
+def configuration(version=1, tenants=1, first_key=1):
     """A manifest with the kinds of request of the deployment's sheet, and tenants with a key each."""
     def route(name, kind, service, **fields):
         return {"name": name, "host": "h.example", "prefix": f"/{name}/", "routeKind": kind, "timeoutMs": 10000,
@@ -356,7 +376,8 @@
                          {"name": "assist", "healthPath": "/healthz", "maxConnections": 424, "engineParams": engine}],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
                        "idleTimeoutMs": 15000},
-            "tenants": [{"name": f"tenant-{number}", "apiKeys": [f"key-{number}"]} for number in range(1, tenants + 1)]}
+            "tenants": [{"name": f"tenant-{number}", "apiKeys": [f"key-{first_key + number - 1}"]}
+                        for number in range(1, tenants + 1)]}
 
 
 class Gateway:
@@ -560,7 +581,8 @@
 
 
 def main(case, play):
-    """Runs `play(deployment)`, which returns whether the rule held, and exits with 0, 1 or 2."""
+    """Runs `play(deployment)`, which returns whether the rule held, and exits with 0, 1 or 2. The record is written
+    beside the file `case`."""
     async def run():
         deployment = Deployment(os.path.dirname(os.path.abspath(case)))
         for number in (signal.SIGTERM, signal.SIGINT):
