--- a/review/stand_ins_3/users_platform.py
+++ b/review/stand_ins_3/users_platform.py
@@ -18,6 +18,7 @@
 DRAIN_S = 2.0      # drainMs
 CONTACT_S = 3.0    # contactMs
 MEMORY_MIB = 260   # limits.memoryMb
+LIMIT_FIELD = "server-limit"
 RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger { 1, 0 }
 PORTS = range(10000, 32000)
 
@@ -502,7 +503,8 @@
         self.folder = tempfile.TemporaryDirectory()
         self.store = Store()
         self.runners, self.gateways, self.answers = [], [], {}
-        self.sent_at, self.tasks, self.counts = {}, [], {}
+        self.sent_at, self.answered_at, self.gateway_of = {}, {}, {}
+        self.tasks, self.counts = [], {}
         self.random = random.Random(46)
         self.peer_port = free_port([f"127.0.0.{number}" for number in range(1, 5)])
         self.record(f"with{'' if self.trouble else 'out'} the disruption")
@@ -531,10 +533,10 @@
         method = "GET" if route == "stock" else "POST"
         target = self.gateways[gateway]
         self.record(f"request {identifier} is sent to {target.name} ({route})")
-        self.sent_at[identifier] = self.record.now()
+        self.sent_at[identifier], self.gateway_of[identifier] = self.record.now(), target.name
         answer = await call(target.callers, method, f"/{route}/1", fields, limit_ms / 1000,
                             b"" if method == "GET" else b"x" * 100)
-        self.answers[identifier] = answer
+        self.answers[identifier], self.answered_at[identifier] = answer, self.record.now()
         self.record(f"request {identifier} gets {answer}")
         return answer
 
