StoreClient: Encode keys in the query of a listing

Callers saw: after a restart of all gateways no request was served, for as long as another writer's rows lay among those of the upstreams.

Cause: the store returns a listing in pages, and the next one is asked for from the last key on. The key was written into the query as it is. A key that holds `%20` then means another key, which sorts before it, so that the store returns rows that the gateway has already, and a key with a space makes the request invalid. The key's own `%00` for "the key behind it" was part of that text, so it could not be encoded afterwards.

Change: keys and tables are encoded where StoreClient builds the query. `percentEncoded` moves from HttpPlatform to LibBase, so that both clients of a store encode by the same function.

The stand-ins of both tests now return pages and decode the query as a server does; the unit test's store compared keys only up to their percent sign, which hid the fault.

--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -2,6 +2,7 @@
 
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Base/Json.h"
+#include "lavenderpick/Base/PercentEncoding.h"
 
 namespace Lavenderpick {
 
@@ -10,31 +11,6 @@
 // Idle connections of the client are this old at most.
 constexpr Duration connectionIdleLimit = Seconds(3);
 
-bool isUnreserved(char byte)
-{
-    return (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z')
-            || (byte >= '0' && byte <= '9') || byte == '-' || byte == '.' || byte == '_'
-            || byte == '~';
-}
-
-// Encodes all but unreserved characters and slashes; keys and object names contain slashes.
-std::string percentEncoded(std::string_view text)
-{
-    constexpr const char *digits = "0123456789ABCDEF";
-    std::string result;
-    for (const char byte : text) {
-        if (isUnreserved(byte) || byte == '/') {
-            result += byte;
-            continue;
-        }
-        const auto value = static_cast<unsigned char>(byte);
-        result += '%';
-        result += digits[value / 16];
-        result += digits[value % 16];
-    }
-    return result;
-}
-
 // The message without its remedy, which does not suit what the failure means here.
 std::string causeOf(const Error &error)
 {
--- a/Tests/PlatformAdapter/TestStoreSource.cpp
+++ b/Tests/PlatformAdapter/TestStoreSource.cpp
@@ -136,7 +136,22 @@
         if (start == std::string::npos)
             return {};
         const std::size_t value = start + name.size() + 1;
-        return target.substr(value, target.find('&', value) - value);
+        return decoded(target.substr(value, target.find('&', value) - value));
+    }
+
+    /// As a server reads a field of a form: a plus sign is a space.
+    static std::string decoded(const std::string &text)
+    {
+        std::string result;
+        for (std::size_t index = 0; index < text.size(); ++index) {
+            if (text[index] == '%') {
+                result += static_cast<char>(std::stoi(text.substr(index + 1, 2), nullptr, 16));
+                index += 2;
+            } else {
+                result += text[index] == '+' ? ' ' : text[index];
+            }
+        }
+        return result;
     }
 
     void respond(const Peer &peer, int status, const nlohmann::json &body)
@@ -179,12 +194,12 @@
             const std::string from = parameter(target, "from");
             nlohmann::json records = nlohmann::json::array();
             bool hasMore = false;
-            for (const auto &[key, row] : m_rows[table]) {
+            const auto &rows = m_rows[table];
+            for (auto row = rows.lower_bound(from); row != rows.end(); ++row) {
                 hasMore = records.size() == m_pageSize;
                 if (hasMore)
                     break;
-                if (from.empty() || key > from.substr(0, from.find('%')))
-                    records.push_back(row);
+                records.push_back(row->second);
             }
             nlohmann::json response = rowsResponse(records);
             response["hasMore"] = hasMore;
@@ -562,6 +577,51 @@
     BOOST_CHECK(!observer.changes.front().record);
 }
 
+// Guards against a key that changes the query of the next page: one with `%20` made the store
+// return the same page again and again, and one with a space made the request invalid.
+BOOST_AUTO_TEST_CASE(keysThatNeedEncodingAreListedOnce)
+{
+    const std::vector<std::string> keys {
+        "copy%20of",
+        "copy%00",
+        "copy%2",
+        "copy%",
+        "copy of",
+        "copy+of",
+        "a&from=",
+        "a=b",
+        "a#b",
+        "a?b",
+        "a/b",
+        "a\r\nb",
+        "a\tb",
+        "\"a\"",
+        "\u00e9t\u00e9",
+        "\U0001f33f",
+        std::string(1, '\0') + "b",
+        "~._-",
+        "z",
+    };
+    for (const std::string &key : keys)
+        store.put("servers", key, readyUpstreamBase64);
+    for (const std::size_t pageSize : { 1, 2, 3 }) {
+        store.setPageSize(pageSize, nullptr);
+        const int listings = store.listings;
+        Platform::StoreSource lister(context, clock, random, store.address(), settings);
+        RecordingObserver seen;
+        lister.start(seen, { .address = "10.0.0.5:7340", .availabilityZone = "a" });
+        // A gateway that reads the same page again and again never ends, so the calls are bounded.
+        const int mostListings = 3 * static_cast<int>(keys.size());
+        BOOST_REQUIRE(runUntil(
+                [&] { return !seen.listed.empty() || store.listings - listings > mostListings; }));
+        BOOST_CHECK_LE(store.listings - listings, mostListings);
+        std::vector<std::string> expected = keys;
+        std::sort(expected.begin(), expected.end());
+        BOOST_CHECK_EQUAL_COLLECTIONS(seen.listed.begin(), seen.listed.end(), expected.begin(),
+                                      expected.end());
+    }
+}
+
 // The new listing undid a change that a peer had passed on meanwhile, which was never read again.
 BOOST_AUTO_TEST_CASE(changesThatAPeerReadDuringANewListingAreNotLost)
 {
--- a/Tests/Processes/gateway_process.py
+++ b/Tests/Processes/gateway_process.py
@@ -62,6 +62,11 @@
         fields = {"Host": "h", "Api-Key": key, "X-Attempt-Id": identifier, "X-Deadline-Ms": "5000", **headers}
         return call(self.callers, "POST" if body else "GET", path, body, fields, timeout=10)
 
+    def peak_memory_mib(self):
+        with open(f"/proc/{self.process.pid}/status") as file:
+            peak = next(line for line in file if line.startswith("VmHWM:"))
+        return int(peak.split()[1]) / 1024
+
     def lines(self):
         with open(self.log_path) as file:
             return [json.loads(line) for line in file]
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -120,12 +120,24 @@
             handler.respond_json(200, {"revision": self.revision, "nowMs": 0})
         elif url.path == "/rows-get":
             with self.condition:
-                records = [row for (table, _), row in sorted(self.rows.items()) if table == query["table"]]
-                answer = {"records": records, "hasMore": False, "revision": self.revision, "nowMs": 0}
+                records, has_more = self.page(query["table"], query.get("from", ""))
+                answer = {"records": records, "hasMore": has_more, "revision": self.revision, "nowMs": 0}
             handler.respond_json(200, answer)  # It may block on a silent connection, which must not hold the lock.
         else:
             self.poll(handler, query)
 
+    def page(self, wanted_table, first_key):
+        """At most 500 rows or 1 MB, and whether there are more."""
+        records, size = [], 0
+        for (table, key), row in sorted(self.rows.items()):
+            if table != wanted_table or key < first_key:
+                continue
+            size += len(row["value"]) * 3 // 4
+            if records and (len(records) == 500 or size > 1_000_000):
+                return records, True
+            records.append(row)
+        return records, False
+
     def poll(self, handler, query):
         after = int(query["afterRev"])
         with self.condition:
