--- a/Tests/PlatformAdapter/TestStoreSource.cpp
+++ b/Tests/PlatformAdapter/TestStoreSource.cpp
@@ -690,6 +690,29 @@
     }
 }
 
+// Guards against a listing of several pages that begins again after each first page, since what was
+// read before the store's return is of an earlier era until a listing is complete.
+BOOST_AUTO_TEST_CASE(listsATableOfSeveralPagesOnceAfterTheStoresReturn)
+{
+    store.era = 1;
+    store.put("servers", "i-2", readyUpstreamBase64);
+    store.put("servers", "i-3", readyUpstreamBase64);
+    start();
+    const FakeStore::Copy copy = store.copy();
+    observer.listed.clear();
+    store.setPageSize(1, nullptr);
+    store.comeBackFrom(copy);
+    store.put("op", "config", configurationBase64); // Its poll is answered in the new era.
+    const int listings = store.listings;
+    for (int count = 0; count < 60; ++count) {
+        advance(Milliseconds(50));
+        runUntil([] { return false; }, std::chrono::milliseconds(4));
+    }
+    BOOST_CHECK_EQUAL(observer.listed.size(), 3);
+    // One page for each row of the three tables: the configuration, the upstreams, this gateway.
+    BOOST_CHECK_LE(store.listings - listings, 5);
+}
+
 // Guards against a response that waited in a buffer, and against a gateway that does not read: both
 // must not hide that the store came back.
 BOOST_AUTO_TEST_CASE(learnsOfTheStoresReturnFromPeersAndIgnoresLateResponses)
