HttpPlatform: Refuse pages that don't continue a listing

Callers could see: an entry that takes over another's jobs lists them page by page, each from the last key of the page before, until a page is short. A store that returns a page again keeps it listing, and collecting rows, for ever.

Change: HttpPlatform::list, where all such loops get their rows, throws StoreUnavailable if a row isn't behind the one before or has another prefix.

Evidence: HttpPlatformTests/pages_that_do_not_continue_are_refused failed before (five of five pages were taken) and passes. No case with real processes was played.

--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -74,6 +74,19 @@
     return result;
 }
 
+// Callers list a table page by page, each from the last key of the page before, until one is short.
+// A response that doesn't continue there would keep them listing, and collecting rows, for ever.
+void checkOrder(const std::vector<Row> &rows, const std::string &prefix, const std::string &after)
+{
+    const std::string *previous = &after;
+    for (const Row &row : rows) {
+        if (row.key <= *previous || !row.key.starts_with(prefix))
+            throwUnavailable("a page of a table has the row '" + row.key + "' behind '" + *previous
+                             + "'");
+        previous = &row.key;
+    }
+}
+
 } // namespace
 
 HttpPlatform::HttpPlatform(std::string address, const Clock &clock, Duration timeout)
@@ -157,6 +170,7 @@
     std::vector<Row> rows;
     for (const nlohmann::json &item : requireArray(json, "items"))
         rows.push_back(parseRow(item, requireString(item, "key")));
+    checkOrder(rows, prefix, after);
     return rows;
 }
 
--- a/Tests/LibPlatform/TestHttpPlatform.cpp
+++ b/Tests/LibPlatform/TestHttpPlatform.cpp
@@ -2,6 +2,7 @@
 #include "ServiceServer.h"
 #include "lavenderpick/Base/Error.h"
 #include "lavenderpick/Document/DocumentStore.h"
+#include "lavenderpick/Http/HttpServer.h"
 #include "lavenderpick/Platform/HttpPlatform.h"
 
 #include <boost/test/unit_test.hpp>
@@ -74,6 +75,37 @@
     BOOST_TEST(second[0].value.is_null());
 }
 
+// Guards against callers that list without end, since a response does not continue the page before.
+BOOST_AUTO_TEST_CASE(pages_that_do_not_continue_are_refused)
+{
+    Metrics metrics;
+    HttpServer repeating({}, metrics);
+    std::vector<std::string> keys;
+    repeating.routes().Get("/tables/job", [&](const auto &, auto &response) {
+        nlohmann::json items = nlohmann::json::array();
+        for (const std::string &key : keys)
+            items.push_back({ { "key", key }, { "version", 1 } });
+        answerJson(response, 200, { { "items", items } });
+    });
+    const int port = repeating.start("127.0.0.1", 0);
+    HttpPlatform reader("127.0.0.1:" + std::to_string(port), clock, Milliseconds(200));
+    const std::vector<std::vector<std::string>> unusable {
+        { "a/2" },        // The last row of the page before.
+        { "a/1", "a/3" }, // A row before it.
+        { "a/4", "a/3" }, // Not in order.
+        { "a/3", "a/3" }, // A row twice.
+        { "a/3", "b/1" }, // Of another prefix.
+    };
+    for (const auto &rows : unusable) {
+        keys = rows;
+        BOOST_CHECK_EXCEPTION(reader.list("job", "a/", "a/2", 2, true), Error,
+                              isKind(ErrorKind::StoreUnavailable));
+    }
+    keys = { "a/3", "a/4" };
+    BOOST_TEST(reader.list("job", "a/", "a/2", 2, true).size() == 2U);
+    repeating.stop();
+}
+
 // Guards against objects that are cut or changed.
 BOOST_AUTO_TEST_CASE(objects_survive_byte_for_byte)
 {
