FeedSchedule: Space polls that the store ends early

A gateway that reads for itself or for others polls again as soon as a poll ends. A store that doesn't wait, but returns at once without changes, was read as fast as it responds.

Change: the next read follows a poll by `changeSpacing`, 150 ms, as it does after one that returned changes. A poll that waits its time is followed at once, as before.

Evidence: FeedScheduleTests/pollsThatReturnAtOnceWithoutChangesAreSpaced counted 15,000 reads in 15 s at one a millisecond before; 102 are allowed.

--- a/Libraries/LibForward/FeedSchedule.cpp
+++ b/Libraries/LibForward/FeedSchedule.cpp
@@ -68,7 +68,9 @@
     // show when the store sent it.
     m_ownConfirmedAt = newestChange > 0 ? sentAt : std::min(now, sentAt + wait);
     m_confirmedAt = std::max(m_confirmedAt, m_ownConfirmedAt);
-    m_nextReadAt = newestChange > 0 ? sentAt + m_settings.changeSpacing : TimePoint {};
+    // A poll without changes ends after its wait, unless the store returns it early.
+    const bool isSpaced = newestChange > 0 || wait > Duration {};
+    m_nextReadAt = isSpaced ? sentAt + m_settings.changeSpacing : TimePoint {};
     closeGap(sentAt);
 }
 
--- a/Tests/LibForward/TestFeedSchedule.cpp
+++ b/Tests/LibForward/TestFeedSchedule.cpp
@@ -68,6 +68,27 @@
     BOOST_CHECK(schedule.dueRead(now()) == settings.readerPollWait);
 }
 
+// Guards against reads without a pause, as fast as the store responds, where it doesn't wait.
+BOOST_AUTO_TEST_CASE(pollsThatReturnAtOnceWithoutChangesAreSpaced)
+{
+    for (const FeedRole role : { FeedRole::Alone, FeedRole::Reader }) {
+        FeedSchedule poller(settings, random);
+        poller.setRole(role);
+        poller.recordListing(10, now());
+        clock.advance(settings.maximumAge);
+        int reads = 0;
+        const TimePoint end = now() + Seconds(15);
+        while (now() < end) {
+            if (const auto wait = poller.dueRead(now())) {
+                ++reads;
+                poller.recordRead(10, 0, now(), *wait, now());
+            }
+            clock.advance(Milliseconds(1));
+        }
+        BOOST_CHECK_LE(reads, Seconds(15) / settings.changeSpacing + 2);
+    }
+}
+
 // When hundreds of upstreams register within a second, each change would complete a poll.
 BOOST_AUTO_TEST_CASE(readerCollectsChangesThatFollowEachOther)
 {
--- a/include/lavenderpick/Forward/FeedSchedule.h
+++ b/include/lavenderpick/Forward/FeedSchedule.h
@@ -40,8 +40,9 @@
     /// silent stays unnoticed: less than `StoreAvailability::shortestExpiry`, so that the silence
     /// is no outage.
     Duration alonePollWait { Milliseconds(1'300) };
-    /// Time from the start of a read that returned changes to the next read. Many upstreams change
-    /// at about the same time, and each of their changes would complete a long poll of its own.
+    /// Time from the start of a poll, or of a read that returned changes, to the next read. Many
+    /// upstreams change at about the same time, and each of their changes would complete a long
+    /// poll of its own.
     Duration changeSpacing { Milliseconds(150) };
     /// Gateways that learn at the same time that the store came back from an older copy list the
     /// table within this time.
