HttpMessage: Keep text of others within its field

Upstreams could see: the key of an upstream's row, a customer's name or the id of a stream's last event was written into the heads of requests as it was. One with CR and LF begins a field or a request of its own.

Change: rows, configurations and peers' messages with a control character in such a text are refused where they are decoded (requireFieldValue). appendField, which writes all fields, replaces CR, LF and NUL by spaces (RFC 9110, 5.5).

Evidence: StoreSourceTests/keysThatNeedEncodingAreListedOnce listed the key "a\r\nb" as an upstream before. RecordDecoderTests/textThatCanNotBeSentInAHeadIsRefused and HttpParserTests/fieldsEndWhereTheyAreWritten pass; that they fail without the change is by reading.

--- a/Libraries/LibForward/HttpMessage.cpp
+++ b/Libraries/LibForward/HttpMessage.cpp
@@ -95,7 +95,16 @@
 
 void appendField(std::string_view name, std::string_view value, std::string &out)
 {
-    out.append(name).append(": ").append(value).append("\r\n");
+    out.append(name).append(": ");
+    const std::size_t start = out.size();
+    out.append(value);
+    std::replace_if(
+            out.begin() + static_cast<std::ptrdiff_t>(start), out.end(),
+            [](char character) {
+                return character == '\r' || character == '\n' || character == '\0';
+            },
+            ' ');
+    out.append("\r\n");
 }
 
 void appendEndToEndHeaders(const HeaderList &headers, std::string &out)
--- a/Libraries/LibForward/UpstreamDirectory.cpp
+++ b/Libraries/LibForward/UpstreamDirectory.cpp
@@ -1,6 +1,7 @@
 #include "lavenderpick/Forward/UpstreamDirectory.h"
 
 #include "lavenderpick/Base/Json.h"
+#include "lavenderpick/Forward/HttpGrammar.h"
 
 #include <algorithm>
 #include <set>
@@ -44,9 +45,9 @@
 UpstreamRecord UpstreamRecord::parse(const nlohmann::json &json)
 {
     return {
-        .id = requireString(json, "id"),
+        .id = requireFieldValue(requireString(json, "id"), "id"),
         .service = requireString(json, "service"),
-        .address = requireString(json, "address"),
+        .address = requireFieldValue(requireString(json, "address"), "address"),
         .availabilityZone = requireString(json, "availability_zone"),
         .capacity = static_cast<int>(requireInteger(json, "capacity", 1)),
         .state = requireBool(json, "leaving") ? UpstreamState::Leaving : UpstreamState::Ready,
--- a/Tests/LibForward/TestHttpParser.cpp
+++ b/Tests/LibForward/TestHttpParser.cpp
@@ -140,4 +140,12 @@
     BOOST_CHECK_EQUAL(out, "Host: h\r\nX-Public: 2\r\n");
 }
 
+// Guards against ids of events, upstreams and customers that begin another field or request.
+BOOST_AUTO_TEST_CASE(fieldsEndWhereTheyAreWritten)
+{
+    std::string out;
+    appendField("Id", std::string("5\rX: y\r\n\r\nGET /\0", 16), out);
+    BOOST_CHECK_EQUAL(out, "Id: 5 X: y    GET / \r\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/PlatformAdapter/TestRecordDecoder.cpp
+++ b/Tests/PlatformAdapter/TestRecordDecoder.cpp
@@ -116,6 +116,29 @@
 
 // Guards against a cold upstream that counts as warm because its time is written in another form,
 // and against a bad time that ends the process or counts as one.
+// Guards against text of another writer that begins a field or a request of its own in the head of
+// requests: an upstream's key and a customer's name are sent there.
+BOOST_AUTO_TEST_CASE(textThatCanNotBeSentInAHeadIsRefused)
+{
+    const auto toJson = [](const std::string &text) { return nlohmann::json(text).dump(); };
+    for (const std::string &text :
+         { std::string("i-1\r\nX: y"), std::string("i-1\n"), std::string("i-1\r"),
+           std::string("i\0", 2), std::string("i\x7f") }) {
+        BOOST_CHECK(!Platform::decodeUpstream(text, upstreamJson).has_value());
+        const std::string customer = R"({"name":)" + toJson(text) + R"(,"apiKeys":[]})";
+        BOOST_CHECK_THROW(Platform::decodeElement("tenants", customer), Error);
+        BOOST_CHECK_THROW(
+                Platform::decodeConfiguration(
+                        R"({"version":1,"routes":[],"services":[],"tenants":[)" + customer + "]}"),
+                Error);
+        nlohmann::json record = Platform::decodeUpstream("i-1", upstreamJson)->toJson();
+        BOOST_CHECK_NO_THROW(UpstreamRecord::parse(record));
+        record["id"] = text; // From a peer of an earlier version.
+        BOOST_CHECK_THROW(UpstreamRecord::parse(record), Error);
+    }
+    BOOST_CHECK(Platform::decodeUpstream("copy%20 \u00e9", upstreamJson).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(coldTimesAreOptional)
 {
     const auto coldLeft = [](const std::string &field) -> std::optional<Duration> {
--- a/Tests/PlatformAdapter/TestStoreSource.cpp
+++ b/Tests/PlatformAdapter/TestStoreSource.cpp
@@ -1,6 +1,7 @@
 #include "GeneratedConfiguration.h"
 #include "Tests/ServiceGateway/ScriptedUpstream.h"
 #include "lavenderpick/Base/Base64.h"
+#include "lavenderpick/Forward/HttpGrammar.h"
 #include "lavenderpick/Forward/StorePosition.h"
 #include "platform/StoreSource.h"
 
@@ -619,6 +620,9 @@
                 [&] { return !seen.listed.empty() || store.listings - listings > mostListings; }));
         BOOST_CHECK_LE(store.listings - listings, mostListings);
         std::vector<std::string> expected = keys;
+        // A key with a control character can't name an upstream in the head of a request.
+        std::erase_if(expected, [](const std::string &key) { return !isFieldValue(key); });
+        BOOST_CHECK_EQUAL(expected.size() + 2, keys.size());
         std::sort(expected.begin(), expected.end());
         BOOST_CHECK_EQUAL_COLLECTIONS(seen.listed.begin(), seen.listed.end(), expected.begin(),
                                       expected.end());
--- a/include/lavenderpick/Forward/HttpMessage.h
+++ b/include/lavenderpick/Forward/HttpMessage.h
@@ -89,6 +89,8 @@
 /// Appends the header field that frames the body, if there is one.
 void appendFraming(BodyFraming framing, std::uint64_t contentLength, std::string &out);
 
+/// Appends a field. Bytes that would end it or the head are replaced by spaces (RFC 9110, 5.5):
+/// names of upstreams and customers and ids of events are text that others wrote.
 void appendField(std::string_view name, std::string_view value, std::string &out);
 
 /// Appends `bytes` as one chunk of a chunked body; appends nothing if `bytes` is empty, since an
