InboundConnection: Reject requests whose fields are ambiguous

Callers saw: a request whose Connection names the field of its id reached an upstream without an id, and its caller got no answer.

Cause: any field could be named by Connection or occur twice, also those that the protocol with the upstreams rests on. Of several Connection fields only the first one counted, and tabs in it did not.

Change: HeaderNames::singular lists these fields. A request in which one occurs twice or is named by Connection gets 400, and its connection ends. A response with two ids, or whose Connection names the id or the signature, counts as another request's.

HttpParserTests/allConnectionFieldsAreConsidered and ResponseAssessmentTests/responsesWithAnAmbiguousIdProveNothing check it here.

--- a/Libraries/LibForward/HttpMessage.cpp
+++ b/Libraries/LibForward/HttpMessage.cpp
@@ -17,12 +17,13 @@
 /// Whether the comma-separated `list` contains `name`, ignoring case.
 bool listContains(std::string_view list, std::string_view name)
 {
+    const auto isSpace = [](char character) { return character == ' ' || character == '\t'; };
     while (!list.empty()) {
         const std::size_t comma = list.find(',');
         std::string_view item = list.substr(0, comma);
-        while (!item.empty() && item.front() == ' ')
+        while (!item.empty() && isSpace(item.front()))
             item.remove_prefix(1);
-        while (!item.empty() && item.back() == ' ')
+        while (!item.empty() && isSpace(item.back()))
             item.remove_suffix(1);
         if (equalHeaderNames(item, name))
             return true;
@@ -31,6 +32,14 @@
     return false;
 }
 
+/// Whether a Connection field names the field, which then ends at this recipient.
+bool isNamedByConnection(const HeaderList &headers, std::string_view name)
+{
+    return std::ranges::any_of(headers.fields(), [name](const HeaderField &field) {
+        return equalHeaderNames(field.name, "Connection") && listContains(field.value, name);
+    });
+}
+
 } // namespace
 
 bool equalHeaderNames(std::string_view left, std::string_view right)
@@ -107,12 +116,20 @@
     out.append("\r\n");
 }
 
+const std::string *findAmbiguousField(const HeaderList &headers,
+                                      const std::vector<std::string> &names)
+{
+    const auto ambiguous = std::ranges::find_if(names, [&headers](const std::string &name) {
+        return headers.count(name) > 1 || isNamedByConnection(headers, name);
+    });
+    return ambiguous == names.end() ? nullptr : &*ambiguous;
+}
+
 void appendEndToEndHeaders(const HeaderList &headers, std::string &out)
 {
-    const std::string *connection = headers.find("Connection");
     for (const HeaderField &field : headers.fields()) {
         if (isHopByHop(field.name) || equalHeaderNames(field.name, "Content-Length")
-            || (connection != nullptr && listContains(*connection, field.name)))
+            || isNamedByConnection(headers, field.name))
             continue;
         appendField(field.name, field.value, out);
     }
--- a/Libraries/LibForward/ResponseAssessment.cpp
+++ b/Libraries/LibForward/ResponseAssessment.cpp
@@ -45,6 +45,8 @@
     const std::string statusCause = "status_" + std::to_string(response.status);
     if (!hasRequestId && context.connectionReused)
         return { ResponseVerdict::Unattributed, "response_without_id" };
+    if (findAmbiguousField(response.headers, { names.requestId, names.signature }) != nullptr)
+        return { ResponseVerdict::Unattributed, "response_with_ambiguous_id" };
     if (dialect.isMisdirected(response))
         return { ResponseVerdict::Misdirected, "other_upstream" };
     if (dialect.provesNotRun(response))
--- a/Services/Gateway/InboundConnection.cpp
+++ b/Services/Gateway/InboundConnection.cpp
@@ -111,6 +111,10 @@
     const CallerLimits callerLimits = limits();
     if (head.headers.count("Host") != 1)
         reject(400, RefusalReason::BadRequest, "The request must have one Host field.");
+    else if (const std::string *field =
+                     findAmbiguousField(head.headers, m_state.dialect.names().singular))
+        reject(400, RefusalReason::BadRequest,
+               "The field " + *field + " occurs twice or is named in Connection.");
     else if (m_parser.headBytes() > callerLimits.headBytes)
         reject(431, RefusalReason::BadRequest, "The head of the request is too large.");
     else if (head.contentLength > callerLimits.bodyBytes)
--- a/Tests/LibForward/TestHttpParser.cpp
+++ b/Tests/LibForward/TestHttpParser.cpp
@@ -140,6 +140,23 @@
     BOOST_CHECK_EQUAL(out, "Host: h\r\nX-Public: 2\r\n");
 }
 
+// Guards against fields that only a first Connection field, or one without tabs, could take away.
+BOOST_AUTO_TEST_CASE(allConnectionFieldsAreConsidered)
+{
+    HeaderList headers;
+    headers.add("Connection", "close");
+    headers.add("Connection", "a,\tX-Private ,b");
+    headers.add("X-Private", "1");
+    headers.add("Id", "1");
+    std::string out;
+    appendEndToEndHeaders(headers, out);
+    BOOST_CHECK_EQUAL(out, "Id: 1\r\n");
+    BOOST_CHECK(findAmbiguousField(headers, { "Id" }) == nullptr);
+    BOOST_CHECK_EQUAL(*findAmbiguousField(headers, { "Id", "x-private" }), "x-private");
+    headers.add("ID", "2");
+    BOOST_CHECK_EQUAL(*findAmbiguousField(headers, { "Id" }), "Id");
+}
+
 // Guards against ids of events, upstreams and customers that begin another field or request.
 BOOST_AUTO_TEST_CASE(fieldsEndWhereTheyAreWritten)
 {
--- a/Tests/PlatformAdapter/TestResponseAssessment.cpp
+++ b/Tests/PlatformAdapter/TestResponseAssessment.cpp
@@ -51,6 +51,19 @@
         BOOST_CHECK(promisesNotRun(status));
 }
 
+// Guards against a response that belongs to two requests, or whose caller would not get its id.
+BOOST_AUTO_TEST_CASE(responsesWithAnAmbiguousIdProveNothing)
+{
+    ResponseHead twice = response(200, false);
+    twice.headers.add("x-attempt-id", "r2");
+    ResponseHead hidden = response(200, false);
+    hidden.headers.add("Connection", "close, X-Attempt-Id");
+    ResponseHead unsigned_ = response(503, true);
+    unsigned_.headers.add("Connection", "X-Server-Seal");
+    for (const ResponseHead &head : { twice, hidden, unsigned_ })
+        BOOST_CHECK(verdict(head) == ResponseVerdict::Unattributed);
+}
+
 // Guards against a late copy of an earlier refusal that counts as that of the request.
 BOOST_AUTO_TEST_CASE(responsesWithoutAnIdOnAReusedConnectionProveNothing)
 {
--- a/Tests/ServiceGateway/GatewayFixture.h
+++ b/Tests/ServiceGateway/GatewayFixture.h
@@ -56,6 +56,7 @@
         .urgency = "Urgency",
         .reserved = { "Key", "Customer", "Time-Left-Ms", "Expected-Upstream", "Helpers",
                       "Urgency" },
+        .singular = { "Host", "Request-Id", "Key", "Time-Left-Ms", "Last-Event-Id" },
     };
 };
 
--- a/include/lavenderpick/Forward/HttpMessage.h
+++ b/include/lavenderpick/Forward/HttpMessage.h
@@ -93,6 +93,11 @@
 /// names of upstreams and customers and ids of events are text that others wrote.
 void appendField(std::string_view name, std::string_view value, std::string &out);
 
+/// The first of `names` that occurs more than once, or that Connection names so that the next
+/// recipient would not get it; null if there is none.
+const std::string *findAmbiguousField(const HeaderList &headers,
+                                      const std::vector<std::string> &names);
+
 /// Appends `bytes` as one chunk of a chunked body; appends nothing if `bytes` is empty, since an
 /// empty chunk would end the body.
 void appendChunk(std::string_view bytes, std::string &out);
--- a/include/lavenderpick/Forward/RequestDialect.h
+++ b/include/lavenderpick/Forward/RequestDialect.h
@@ -25,6 +25,8 @@
     std::string urgency;          ///< Sent to engines: more urgent requests are admitted first.
     /// Only the gateway may set these, so a caller's fields with these names are dropped.
     std::vector<std::string> reserved;
+    /// Fields of requests that upstreams rely on: each may occur once, and must reach the upstream.
+    std::vector<std::string> singular;
 
     bool operator==(const HeaderNames &) const = default;
 };
