--- a/Tests/PlatformAdapter/TestStoreSource.cpp
+++ b/Tests/PlatformAdapter/TestStoreSource.cpp
@@ -71,24 +71,29 @@
 
     std::string address() const { return m_server.address(); }
 
-    void put(const std::string &table, const std::string &key, const std::string &base64Value)
+    void put(const std::string &table, const std::string &key, const std::string &base64Value,
+             const std::string &part = "")
     {
         const nlohmann::json row { { "table", table },
-                                   { "part", "" },
+                                   { "part", part },
                                    { "key", key },
                                    { "value", base64Value },
                                    { "revision", ++revision } };
-        m_rows[table][key] = row;
+        if (part.empty())
+            m_rows[table][key] = row;
         m_history.push_back(row);
         completePoll(table, row);
     }
 
-    void remove(const std::string &table, const std::string &key)
+    void remove(const std::string &table, const std::string &key, const std::string &part = "")
     {
-        m_rows[table].erase(key);
-        const nlohmann::json row {
-            { "table", table }, { "key", key }, { "removed", true }, { "revision", ++revision }
-        };
+        if (part.empty())
+            m_rows[table].erase(key);
+        const nlohmann::json row { { "table", table },
+                                   { "part", part },
+                                   { "key", key },
+                                   { "removed", true },
+                                   { "revision", ++revision } };
         m_history.push_back(row);
         completePoll(table, row);
     }
@@ -334,6 +339,49 @@
     BOOST_CHECK(!observer.changes.back().record.has_value());
 }
 
+// Guards against rows of other parts that are taken for entries of upstreams, for the configuration
+// or for evacuations, by a gateway that reads them or by its peers.
+BOOST_AUTO_TEST_CASE(rowsOfOtherPartsAreIgnored)
+{
+    start();
+    source.setRole(FeedRole::Follower); // Reads without a wait, so that the store answers at once.
+    store.put("op", "note", "e30=");    // Completes the open polls.
+    store.put("servers", "i-2", readyUpstreamBase64);
+    BOOST_REQUIRE(runUntil([&] {
+        const ControlPlaneReport report = source.report(clock.now());
+        return observer.changes.size() == 1
+                && report.configuration.newestChange == store.revision - 1;
+    }));
+    const std::size_t evacuations = observer.evacuations.size();
+    const std::size_t changesRead = observer.changesRead.size();
+    for (int number = 0; number < 500; ++number)
+        store.put("servers", "other-" + std::to_string(number), readyUpstreamBase64, "copies");
+    store.put("servers", "i-1", readyUpstreamBase64, "copies");
+    store.remove("servers", "i-2", "copies");
+    store.put("op", "config", configurationBase64, "copies");
+    store.put("op", "evacuate/a", "e30=", "copies");
+    store.remove("op", "config", "copies");
+    const ControlPlaneReport newest { .configuration = { .newestChange = store.revision },
+                                      .upstreams = { .newestChange = store.revision } };
+    source.peerReported(newest, clock.now());
+    advance(settings.catchUpSpread);
+    BOOST_REQUIRE(runUntil([&] {
+        const ControlPlaneReport report = source.report(clock.now());
+        return report.configuration.readTo == store.revision
+                && report.upstreams.readTo == store.revision;
+    }));
+    BOOST_CHECK_EQUAL(observer.changes.size(), 1);
+    BOOST_CHECK_EQUAL(observer.changesRead.size(), changesRead);
+    BOOST_CHECK_EQUAL(observer.revisions.size(), 1);
+    BOOST_CHECK_EQUAL(observer.evacuations.size(), evacuations);
+    // What is written in the empty part next is seen.
+    store.remove("servers", "i-2");
+    source.peerReported({ .upstreams = { .newestChange = store.revision } }, clock.now());
+    advance(settings.catchUpSpread);
+    BOOST_REQUIRE(runUntil([&] { return observer.changes.size() == 2; }));
+    BOOST_CHECK_EQUAL(observer.changes.back().id, "i-2");
+}
+
 // A large value is cut out of the response instead of parsed with it, and must arrive unchanged.
 BOOST_AUTO_TEST_CASE(aLargeConfigurationArrivesWhole)
 {
