--- a/Libraries/LibForward/HttpGrammar.cpp
+++ b/Libraries/LibForward/HttpGrammar.cpp
@@ -10,13 +10,6 @@
 
 constexpr char deleteCharacter = '\x7f';
 
-bool isTokenCharacter(char character)
-{
-    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
-            || (character >= '0' && character <= '9')
-            || std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
-}
-
 bool isControlCharacter(char character)
 {
     return static_cast<unsigned char>(character) < ' ' || character == deleteCharacter;
@@ -24,11 +17,6 @@
 
 } // namespace
 
-bool isToken(std::string_view text)
-{
-    return !text.empty() && std::ranges::all_of(text, isTokenCharacter);
-}
-
 bool isFieldValue(std::string_view text)
 {
     return std::ranges::none_of(text, [](char character) {
--- a/include/lavenderpick/Forward/HttpGrammar.h
+++ b/include/lavenderpick/Forward/HttpGrammar.h
@@ -5,9 +5,6 @@
 
 namespace Lavenderpick {
 
-/// Whether the text is a token (RFC 9110, 5.6.2), such as a field name or a method.
-bool isToken(std::string_view text);
-
 /// Whether the text may be a field value (RFC 9110, 5.5): no control character but a tab.
 bool isFieldValue(std::string_view text);
 
